--- a/tillershift/benchlink.py
+++ b/hallproxy/adapter.py
@@ -6,9 +6,9 @@
 from collections.abc import Sequence
 from typing import BinaryIO
 
-from tillershift.interface import Action, Event, SettingsError
-from tillershift.logic import Router
-from tillershift.wire import (
+from hallproxy.interface import Action, Event, SettingsError
+from hallproxy.logic import Router
+from hallproxy.wire.bench import (
     Begin,
     Decoder,
     Killed,
@@ -70,7 +70,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except (WireError, SettingsError) as error:
-        print(f"tillershift: {error}", file=sys.stderr)
+        print(f"hallproxy: {error}", file=sys.stderr)
         return 1
     return 0
 
--- a/tillershift/interface.py
+++ b/hallproxy/interface.py
@@ -121,6 +121,7 @@
     grace: int = 0
     parts: bool = False
     write: bool = False
+    name: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -169,6 +170,9 @@
     report_fields: tuple[str, ...] = ()
     ask: bool = False
     ask_within: int = 0
+    idle_close: int = 0
+    zone_names: tuple[str, ...] = ()
+    kind_names: tuple[str, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
--- a/tillershift/logic.py
+++ b/hallproxy/logic.py
@@ -1,4 +1,4 @@
-"""The decisions of tillershift. Types, events and actions: tillershift/interface.py (read it first).
+"""The decisions of hallproxy. Types, events and actions: hallproxy/interface.py (read it first).
 
 Reading order: the constants; Peer (what is believed of one cache, parent or origin); then in Router
 ``handle`` (the entry), ``_request`` and ``_attempt`` (the ordinary path), ``_gain`` and ``_rank`` (revenue
@@ -18,7 +18,7 @@
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
-from tillershift import interface as i
+from hallproxy import interface as i
 
 MS = 1_000_000  # ns
 SECOND = 1_000_000_000  # ns
--- /dev/null
+++ b/hallproxy/state/events.py
@@ -0,0 +1,145 @@
+"""What happened, in the core's own terms. Every event carries its time, so the reducer needs no clock."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from hallproxy import interface as i
+
+
+class Verdict(Enum):
+    """The final answer's kind."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    verdict: Verdict
+    body: bytes = b""
+    unchanged: bool = False  # the copy that the client holds is the one
+    retry_after: int = 0
+    tag: str = ""
+    reason: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class Asked:
+    """A client's request. ``label``, ``name``, ``key`` and ``body`` are passed on unchanged."""
+
+    label: str
+    cls: int
+    left: int
+    object: int
+    name: str
+    part: int = 0
+    group: int = 0
+    size_kb: float = 0.0
+    repeat: bool = False
+    write: bool = False
+    key: str = ""
+    held: str = ""
+    body: bytes = b""
+    team: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class Arrived:
+    """A request was taken whole; ``caller`` is the front's handle for its one answer."""
+
+    at: int
+    caller: int
+    asked: Asked
+
+
+@dataclass(slots=True, frozen=True)
+class CallerLeft:
+    at: int
+    caller: int
+
+
+@dataclass(slots=True, frozen=True)
+class LinkUp:
+    """A connection asked for is open; nothing is sent on it yet."""
+
+    at: int
+    link: int
+
+
+@dataclass(slots=True, frozen=True)
+class LinkDown:
+    """A connection never came up, broke or was closed by the other side."""
+
+    at: int
+    link: int
+
+
+@dataclass(slots=True, frozen=True)
+class Result:
+    """What a store said, whole."""
+
+    status: i.Status
+    body: bytes = b""
+    unchanged: bool = False
+    tag: str = ""
+    born: int = 0  # ns; 0 where it is not told
+    load: tuple[float, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class Answered:
+    at: int
+    link: int
+    result: Result
+    reusable: bool
+
+
+@dataclass(slots=True, frozen=True)
+class MembersTold:
+    """News of the list; ``addresses`` say where the members named are reached."""
+
+    at: int
+    change: i.MembersChanged
+    addresses: tuple[str, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class PurgeTold:
+    """An object (0: the whole group) was purged at ``purged``."""
+
+    at: int
+    object: int
+    group: int
+    purged: int
+
+
+@dataclass(slots=True, frozen=True)
+class Due:
+    """A timer that the module set."""
+
+    at: int
+    token: int
+
+
+@dataclass(slots=True, frozen=True)
+class AttemptDue:
+    """An attempt's time is over."""
+
+    at: int
+    attempt: int
+
+
+@dataclass(slots=True, frozen=True)
+class LinkDue:
+    """A connection has had its time to come up, or has idled for long enough."""
+
+    at: int
+    link: int
+
+
+Event = (
+    Arrived | CallerLeft | LinkUp | LinkDown | Answered | MembersTold | PurgeTold | Due | AttemptDue | LinkDue
+)
--- a/tillershift/wire.py
+++ b/hallproxy/wire/bench.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from tillershift import interface as i
+from hallproxy import interface as i
 
 EVENT_BYTES = 64
 ACTION_BYTES = 40
@@ -97,6 +97,7 @@
                 grace=spec["usable_after_ns"][place],
                 parts=spec["multi_part"][place],
                 write=spec["class_write"][place],
+                name=entry.get("name", ""),
             )
             for place, entry in enumerate(top["classes"])
         )
@@ -139,6 +140,9 @@
             report_fields=tuple(top["feedback"]["names"]),
             ask=top["membership_mode"] == "ask",
             ask_within=rules["must_ask_in_ns"],
+            idle_close=bounds.get("idle_close_ns", 0),
+            zone_names=tuple(top.get("zones", ())),
+            kind_names=tuple(top.get("models", ())),
         )
     except KeyError as error:
         raise i.SettingsError(f"options: missing or unknown value {error}") from None
--- /dev/null
+++ b/hallproxy/wire/frames.py
@@ -0,0 +1,159 @@
+"""The clients' binary frames: parsed in place out of a connection's buffer, written as gathered pieces."""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from hallproxy import interface as i
+from hallproxy.state.events import Answer, Asked, Verdict
+
+HEAD = struct.Struct(">IBI")  # length (of all that follows it), type, stream
+SIZE = struct.Struct(">I")
+SHORTEST, LONGEST = 5, 262_144
+BODY_MOST = 48_000  # bytes that one write carries
+ASK, ANSWER, LEFT, IS_READY, READINESS, NO_MORE = 65, 66, 67, 80, 81, 90
+SERVED, REFUSED, FAILED = 79, 66, 69
+CODES = {Verdict.SERVED: SERVED, Verdict.REFUSED: REFUSED, Verdict.FAILED: FAILED}
+MS = 1_000_000
+
+
+class FrameError(ValueError):
+    """Bytes that are no frame: the connection can't go on."""
+
+
+class FieldError(ValueError):
+    """A whole frame whose fields don't make a request: the stream gets a plain answer."""
+
+
+@dataclass(slots=True, frozen=True)
+class Frame:
+    kind: int
+    stream: int
+    payload: memoryview
+
+
+def next_frame(buffer: memoryview) -> tuple[Frame, int] | None:
+    """The first whole frame of the buffer and its size on the wire; None while it is not whole."""
+    if len(buffer) < SIZE.size:
+        return None
+    (length,) = SIZE.unpack_from(buffer)
+    if not SHORTEST <= length <= LONGEST:
+        raise FrameError(f"a frame of {length} bytes")
+    end = SIZE.size + length
+    if len(buffer) < end:
+        return None
+    _, kind, stream = HEAD.unpack_from(buffer)
+    return Frame(kind, stream, buffer[HEAD.size : end]), end
+
+
+def needed(buffer: memoryview) -> int:
+    """How many bytes the frame at the start of the buffer takes in all."""
+    return SIZE.size + SIZE.unpack_from(buffer)[0] if len(buffer) >= SIZE.size else HEAD.size
+
+
+def read_fields(payload: memoryview) -> tuple[dict[str, str], memoryview]:
+    """The fields at the start of a payload, and what follows them."""
+    try:
+        fields: dict[str, str] = {}
+        at = 1
+        for _ in range(payload[0]):
+            size = payload[at]
+            name = str(_cut(payload, at + 1, size), "utf-8")
+            at += 1 + size
+            size = payload[at] << 8 | payload[at + 1]
+            fields[name] = str(_cut(payload, at + 2, size), "utf-8")
+            at += 2 + size
+    except (IndexError, UnicodeDecodeError):
+        raise FieldError("fields that can't be read") from None
+    return fields, payload[at:]
+
+
+def _cut(payload: memoryview, at: int, size: int) -> memoryview:
+    if at + size > len(payload):
+        raise IndexError
+    return payload[at : at + size]
+
+
+def pack_fields(fields: Mapping[str, str]) -> bytes:
+    parts = [bytes((len(fields),))]
+    for name, value in fields.items():
+        raw = value.encode()
+        parts.append(struct.pack(f">B{len(name)}sH", len(name), name.encode(), len(raw)) + raw)
+    return b"".join(parts)
+
+
+def _hex(text: str, digits: int, name: str) -> int:
+    # int() alone would also take signs, blanks and underscores
+    if len(text) != digits or any(c not in "0123456789abcdef" for c in text.lower()):
+        raise FieldError(f"{name} is not {digits} hex digits")
+    return int(text, 16)
+
+
+def _number(fields: Mapping[str, str], name: str, least: int, most: int) -> int:
+    text = fields.get(name, "")
+    if not (text.isascii() and text.isdigit() and len(text) < 12 and least <= int(text) <= most):
+        raise FieldError(f"{name} is not a number from {least} to {most}")
+    return int(text)
+
+
+def read_request(payload: memoryview, classes: Mapping[str, int], settings: i.Settings) -> Asked:
+    """A request frame's payload in the core's terms."""
+    fields, body = read_fields(payload)
+    cls = classes.get(fields.get("op", ""))
+    if cls is None:
+        raise FieldError("op names no class")
+    call, row = fields.get("call", ""), fields.get("row", "")
+    _hex(call, 16, "call")
+    try:
+        size = float(fields.get("heap", "0"))
+    except ValueError:
+        size = -1.0
+    if not 0 <= size < 1e9:  # also turns nan away
+        raise FieldError("heap is not a size")
+    if len(body) > BODY_MOST:
+        raise FieldError(f"a body of more than {BODY_MOST} bytes")
+    key = fields.get("dedupe", "")
+    held = fields.get("got", "")
+    if not _is_token(key) or not _is_token(held):
+        raise FieldError("dedupe or got holds what no header can")
+    return Asked(
+        label=call,
+        cls=cls,
+        left=_number(fields, "ttl", 0, 3_600_000) * MS,
+        object=_hex(row, 16, "row"),
+        name=row,
+        part=_number(fields, "nth", 0, 10**9),
+        group=_number(fields, "batch", 0, 255),
+        size_kb=size,
+        repeat=fields.get("rep") == "1",
+        write=settings.classes[cls].write,
+        key=key,
+        held=held,
+        body=bytes(body),
+    )
+
+
+def _is_token(text: str) -> bool:
+    return len(text) <= 256 and all("!" <= c <= "~" for c in text)
+
+
+def answer(stream: int, said: Answer) -> list[bytes]:
+    """The pieces of an answer's frame: the head, then the body as it is."""
+    fields: dict[str, str] = {}
+    if said.unchanged:
+        fields["ok304"] = "1"
+    if said.verdict is Verdict.REFUSED and said.retry_after:
+        fields["pushback"] = str(max(1, said.retry_after // MS))
+    return pieces(ANSWER, stream, bytes((CODES[said.verdict],)) + pack_fields(fields), said.body)
+
+
+def pieces(kind: int, stream: int, start: bytes = b"", body: bytes = b"") -> list[bytes]:
+    head = HEAD.pack(5 + len(start) + len(body), kind, stream) + start
+    return [head, body] if body else [head]
+
+
+def error(text: str, stream: int = 0) -> list[bytes]:
+    """An answer that says in words what was wrong with the input."""
+    return pieces(ANSWER, stream, bytes((FAILED,)) + pack_fields({"error": text}))
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -6,8 +6,8 @@
 from dataclasses import replace
 from typing import Any
 
-from tillershift import Router
-from tillershift.interface import (
+from hallproxy import Router
+from hallproxy.interface import (
     Action,
     Event,
     Get,
@@ -117,7 +117,7 @@
 
     def wait(self, time: int) -> list[Action]:
         """Let time pass, the timers firing as they fall due."""
-        from tillershift.interface import TimerFired
+        from hallproxy.interface import TimerFired
 
         until, actions = self.now + time, []
         while True:
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from tests.fleet import CACHES, CLIP, FLEET, MS, NEAR, ORIGIN, SECOND, SMALL, Driver
-from tillershift.interface import (
+from hallproxy.interface import (
     ClientGone,
     Effect,
     Fail,
@@ -85,7 +85,7 @@
             live[ident] = (d.now + 2 * SECOND, extra)
             objects[ident], out[ident], ran[ident] = number, [], False
             d.next_id += 1
-            from tillershift.interface import Request
+            from hallproxy.interface import Request
 
             tell(Request(ident, extra, 2 * SECOND, object=number, size_kb=200.0, group=3))
         elif step in ("end", "late"):
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tests.fleet import CACHES, FLEET, MS, NEAR, NEXT, ORIGIN, SECOND, Driver
-from tillershift.interface import (
+from hallproxy.interface import (
     Get,
     ListKind,
     Member,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,8 +8,8 @@
 import pytest
 
 from tests.fleet import CACHES, CLIP, FLEET, MS, NEAR, NEXT, ORIGIN, SECOND, SETTINGS, SMALL, START, Driver
-from tillershift import Router
-from tillershift.interface import (
+from hallproxy import Router
+from hallproxy.interface import (
     Action,
     Cancel,
     ClientGone,
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,8 +11,9 @@
 
 import pytest
 
-from tillershift import benchlink, wire
-from tillershift.interface import (
+from hallproxy import adapter
+from hallproxy.wire import bench as wire
+from hallproxy.interface import (
     Cancel,
     Fail,
     Get,
@@ -151,7 +152,7 @@
 )
 def test_malformed_input_ends_the_process_with_one_line_and_writes_nothing(data: bytes) -> None:
     done = subprocess.run(
-        [sys.executable, "-m", "tillershift.benchlink"], input=data, capture_output=True, check=False
+        [sys.executable, "-m", "hallproxy.adapter"], input=data, capture_output=True, check=False
     )
     assert done.returncode != 0 and done.stdout == b""
     assert len(done.stderr.decode().strip().splitlines()) == 1 and b"Traceback" not in done.stderr
@@ -166,7 +167,7 @@
     call = struct.pack("<BQBIQfBffQ", 3, 5, 0, 0, 8, 0.0, 0, 0.0, 640.0, 10**9)
     data = frame([], number=1) + frame([AT, begin, catalog, member, call], text + entry, number=2)
     sink = io.BytesIO()
-    benchlink.serve(io.BytesIO(data), sink)
+    adapter.serve(io.BytesIO(data), sink)
     out = sink.getvalue()
     assert out[:12] == struct.pack("<III", 1, 0, 12)
     assert struct.unpack_from("<I", out, 12)[0] == 2
