--- /dev/null
+++ b/hallproxy/run/config.py
@@ -0,0 +1,86 @@
+"""What the gateway is told at its start: the environment and the configuration file."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from hallproxy import interface as i
+from hallproxy.state.events import MembersTold, PurgeTold
+from hallproxy.wire.bench import settings_from_json
+from hallproxy.wire.changelog import ChangeError, read_events
+
+
+class ConfigError(ValueError):
+    """The gateway can't start with this; the text is one plain line."""
+
+
+Address = tuple[str, int]
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    name: str
+    listen: Address
+    seed: int
+    memory_mb: int
+    sockets: int
+    changelog: Address | None
+    flow: int  # bytes a second of one transfer of an own copy; 0: not told
+    link: int  # bytes a second of all such transfers together
+    known: dict[str, Any]
+    settings: i.Settings
+
+    def first_events(self, now: int) -> tuple[int, list[MembersTold | PurgeTold]]:
+        """The events of the start, and the number of the last one."""
+        last, told = 0, []
+        # After a restart the log counts from 1 again, but `known` may leave out what has been overtaken.
+        for seq, event in read_events(self.known, 0, self.settings, now, gaps=True):
+            last = seq
+            if event is not None:
+                told.append(event)
+        return max(last, int(self.known.get("seq", 0))), told
+
+
+def address(text: object) -> Address:
+    host, _, port = str(text).rpartition(":")
+    if not host or not port.isascii() or not port.isdigit() or int(port) > 65_535:
+        raise ConfigError(f"{text!r} is no address")
+    return host, int(port)
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    path = environ.get("EDGE_CONFIG")
+    if not path:
+        raise ConfigError("EDGE_CONFIG names no configuration file")
+    try:
+        top = json.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise ConfigError(f"{path} can't be read: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigError(f"{path} is not JSON: {error}") from None
+    if not isinstance(top, dict):
+        raise ConfigError(f"{path} holds no object")
+    try:
+        limits = top.get("limits") or {}
+        return Config(
+            name=environ.get("EDGE_NAME") or str(top.get("name", "")),
+            listen=address(environ.get("EDGE_LISTEN") or top["listen"]),
+            seed=int(str(top.get("seed", "0")), 16),
+            memory_mb=int(limits.get("memory_mb", 192)),
+            sockets=int(limits.get("sockets", 1024)),
+            changelog=address(top["changelog"]) if top.get("changelog") else None,
+            flow=int(top.get("flow_bytes_per_s") or 0),
+            link=int(top.get("link_bytes_per_s") or 0),
+            known=top.get("known") or {"seq": 0, "results": []},
+            settings=settings_from_json(json.dumps(top["settings"]).encode()),
+        )
+    except KeyError as error:
+        raise ConfigError(f"{path}: {error} is missing") from None
+    except (ConfigError, i.SettingsError, ChangeError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+    except (TypeError, ValueError, AttributeError) as error:
+        raise ConfigError(f"{path}: {error}") from None
--- /dev/null
+++ b/hallproxy/run/loop.py
@@ -0,0 +1,91 @@
+"""The effect runner: it brings events to the reducer and does what the reducer asks for."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+from hallproxy.state.effects import Close, Effect, Open, Reply, Say, Send, Wake
+from hallproxy.state.events import Answer, Event
+from hallproxy.state.model import State
+from hallproxy.state.reducer import reduce
+
+
+class Stores(Protocol):
+    """Connections to stores, by the reducer's numbers."""
+
+    def open(self, link: int, address: str) -> None: ...
+
+    def send(self, link: int, order: Send) -> None: ...
+
+    def close(self, link: int) -> None: ...
+
+
+Replier = Callable[[Answer], None]
+
+
+class Loop:
+    """Owns the state's only way in, ``bring``; fronts register what a reply is to call."""
+
+    def __init__(self, state: State) -> None:
+        self.state = state
+        self.stores: Stores
+        self.repliers: dict[int, Replier] = {}
+        self._events: deque[Event] = deque()
+        self._running = False
+        self._callers = 0
+        self._last = 0
+
+    def now(self) -> int:
+        """The system's Unix clock in ns, which all rules are counted by; it never goes back here."""
+        self._last = max(self._last, time.time_ns())
+        return self._last
+
+    def caller(self, replier: Replier) -> int:
+        self._callers += 1
+        self.repliers[self._callers] = replier
+        return self._callers
+
+    def bring(self, event: Event) -> None:
+        """Hand over one event. Events that effects cause meanwhile wait for their turn."""
+        self._events.append(event)
+        if self._running:
+            return
+        self._running = True
+        try:
+            while self._events:
+                for effect in reduce(self.state, self._events.popleft()):
+                    self._do(effect)
+        finally:
+            self._running = False
+
+    def _do(self, effect: Effect) -> None:
+        match effect:
+            case Send():
+                self.stores.send(effect.link, effect)
+            case Reply():
+                self.repliers.pop(effect.caller)(effect.answer)
+            case Wake():
+                delay = max(0, effect.event.at - time.time_ns()) / 1e9
+                asyncio.get_running_loop().call_later(delay, self._wake, effect.event)
+            case Open():
+                self.stores.open(effect.link, effect.address)
+            case Close():
+                self.stores.close(effect.link)
+            case Say():
+                say(effect.text)
+
+    def _wake(self, event: Event) -> None:
+        if event.at > time.time_ns():  # the loop's clock and the system's differ by a little
+            asyncio.get_running_loop().call_later((event.at - time.time_ns()) / 1e9, self._wake, event)
+        else:
+            self.bring(event)
+
+
+def say(text: str) -> None:
+    """A line for the log, which is standard error."""
+    print(text, file=sys.stderr, flush=True)
--- /dev/null
+++ b/hallproxy/run/sockets.py
@@ -0,0 +1,70 @@
+"""IOStreams with gathered writes, and a buffer that heads are parsed in where they lie."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Sequence
+
+from tornado.iostream import IOStream, StreamClosedError
+
+READ = 16_384  # bytes a buffer starts with
+
+
+class Stream(IOStream):
+    """An IOStream that takes several pieces in one write."""
+
+    def gather(self, pieces: Sequence[bytes]) -> None:
+        """Write the pieces in their order: in one system call where the socket takes them.
+
+        What it does not take waits in the stream's own buffer, behind what waits there already.
+        """
+        if self.closed():
+            raise StreamClosedError(self.error)
+        sent = 0
+        if not self.writing():
+            try:
+                sent = self.socket.sendmsg(pieces)
+            except (BlockingIOError, InterruptedError):
+                sent = 0
+            except OSError as error:
+                self.close(error)
+                raise StreamClosedError(error) from None
+        for piece in pieces:
+            if sent >= len(piece):
+                sent -= len(piece)
+                continue
+            # The future is of no use here: a break shows at the reader, which is always waiting.
+            self.write(memoryview(piece)[sent:] if sent else piece).add_done_callback(lambda f: f.exception())
+            sent = 0
+
+
+def stream(sock: socket.socket) -> Stream:
+    """The read buffer of the stream's own is never filled: reads go into ours."""
+    made = Stream(sock, max_buffer_size=1024 * 1024, read_chunk_size=65_536)
+    made.set_nodelay(True)
+    return made
+
+
+class Buffer:
+    """Bytes as they came; ``filled`` of them count, from the start."""
+
+    __slots__ = ("data", "filled")
+
+    def __init__(self, size: int = READ) -> None:
+        self.data = bytearray(size)
+        self.filled = 0
+
+    async def fill(self, source: Stream, room: int = 1) -> None:
+        """Read what there is, after making room for so many bytes."""
+        if len(self.data) - self.filled < room:
+            self.data.extend(bytes(room - (len(self.data) - self.filled)))
+        self.filled += await source.read_into(memoryview(self.data)[self.filled :], partial=True)  # type: ignore[arg-type]
+
+    def drop(self, size: int) -> None:
+        """Forget the first so many bytes."""
+        rest = self.filled - size
+        if rest:
+            self.data[:rest] = self.data[size : self.filled]
+        self.filled = rest
+        if rest <= READ < len(self.data):
+            self.data = self.data[:READ]  # a large message must not hold its memory for good
--- /dev/null
+++ b/hallproxy/run/stores.py
@@ -0,0 +1,124 @@
+"""Connections to stores: one coroutine each, from the connect to the close."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from tornado.iostream import StreamClosedError
+
+from hallproxy.run.config import ConfigError, address
+from hallproxy.run.loop import Loop, say
+from hallproxy.run.sockets import Buffer, Stream, stream
+from hallproxy.state.effects import Send
+from hallproxy.state.events import Answered, LinkDown, LinkUp
+from hallproxy.wire.http1 import Head, HttpError, chunk_size, response_head
+from hallproxy.wire.stores import MOST, order_head, read_answer
+
+
+class HttpStores:
+    """Carries the reducer's orders over HTTP/1.1."""
+
+    def __init__(self, loop: Loop) -> None:
+        self._loop = loop
+        self._streams: dict[int, Stream] = {}
+        self._hosts: dict[int, str] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def open(self, link: int, host: str) -> None:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._streams[link] = made = stream(sock)
+        self._hosts[link] = host
+        task = asyncio.get_running_loop().create_task(self._serve(link, made, host))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def send(self, link: int, effect: Send) -> None:
+        made = self._streams.get(link)
+        if made is None:
+            return  # it has just broken: its LinkDown is on the way
+        order = effect.order
+        head = order_head(order, self._hosts[link], self._loop.state.settings)
+        try:
+            made.gather([head, order.body] if order.body else [head])
+        except StreamClosedError:
+            pass  # the reader sees the close too and tells of it
+
+    def close(self, link: int) -> None:
+        made = self._streams.pop(link, None)
+        self._hosts.pop(link, None)
+        if made is not None:
+            made.close()
+
+    async def _serve(self, link: int, made: Stream, host: str) -> None:
+        try:
+            await made.connect(address(host))
+            self._loop.bring(LinkUp(self._loop.now(), link))
+            buffer = Buffer()
+            while link in self._streams:
+                head, body = await read_message(made, buffer)
+                if link not in self._streams:
+                    return
+                result = read_answer(head, body, self._loop.state.settings)
+                # Bytes behind the answer belong to no request: such a connection is not used again.
+                reusable = head.keeps and not buffer.filled and not made.closed()
+                self._loop.bring(Answered(self._loop.now(), link, result, reusable))
+        except (StreamClosedError, OSError, ConfigError):
+            pass
+        except HttpError as error:
+            say(f"store {host}: {error}")
+        finally:
+            # Also on an error of our own: an attempt must never wait for a reader that is gone.
+            if link in self._streams:
+                self._loop.bring(LinkDown(self._loop.now(), link))
+                self.close(link)
+
+
+async def read_message(made: Stream, buffer: Buffer, most: int = MOST) -> tuple[Head, bytes]:
+    """One response, whole. A body cut short raises; it is never taken for a whole one."""
+    while (head := response_head(buffer.data, buffer.filled)) is None:
+        await buffer.fill(made, 2048)
+    buffer.drop(head.size)
+    length = head.length
+    if length is not None:
+        if length > most:
+            raise HttpError(f"a body of {length} bytes")
+        body = bytearray(length)
+        have = min(length, buffer.filled)
+        body[:have] = memoryview(buffer.data)[:have]
+        buffer.drop(have)
+        if have < length:
+            await made.read_into(memoryview(body)[have:])  # type: ignore[arg-type]
+        return head, bytes(body)
+    if not head.chunked:
+        raise HttpError("a body without a length")
+    parts: list[bytes] = []
+    size = 0
+    while length := chunk_size(await _line(made, buffer)):
+        size += length
+        if size > most:
+            raise HttpError(f"a body of over {most} bytes")
+        parts.append(await _take(made, buffer, length))
+        if await _line(made, buffer):
+            raise HttpError("a chunk longer than it says")
+    while await _line(made, buffer):
+        pass  # trailers
+    return head, b"".join(parts)
+
+
+async def _line(made: Stream, buffer: Buffer) -> bytes:
+    while (at := buffer.data.find(b"\r\n", 0, buffer.filled)) < 0:
+        if buffer.filled > 4096:
+            raise HttpError("a line that is too long")
+        await buffer.fill(made, 2048)
+    line = bytes(buffer.data[:at])
+    buffer.drop(at + 2)
+    return line
+
+
+async def _take(made: Stream, buffer: Buffer, size: int) -> bytes:
+    while buffer.filled < size:
+        await buffer.fill(made, size - buffer.filled)
+    data = bytes(buffer.data[:size])
+    buffer.drop(size)
+    return data
--- /dev/null
+++ b/hallproxy/state/copies.py
@@ -0,0 +1,67 @@
+"""The gateway's own copies: bounded in bytes, lowest rank and longest unused out first."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+Place = tuple[int, int, int]  # class, object, part
+
+
+@dataclass(slots=True, frozen=True)
+class Copy:
+    body: bytes
+    tag: str
+    born: int
+    group: int
+    rank: int
+
+
+@dataclass(slots=True)
+class Copies:
+    most: int = 0  # bytes; 0: none are kept
+    held: int = 0
+    ranks: tuple[OrderedDict[Place, Copy], ...] = field(
+        default_factory=lambda: (OrderedDict(), OrderedDict(), OrderedDict())
+    )
+
+    def put(self, place: Place, copy: Copy) -> None:
+        """Keep it if there is room or what leaves for it ranks no higher."""
+        self.drop(place)
+        size = len(copy.body)
+        if size > self.most or not 1 <= copy.rank <= len(self.ranks):
+            return
+        spare = self.most - self.held
+        lower = self.ranks[: copy.rank]
+        if spare + sum(len(c.body) for rank in lower for c in rank.values()) < size:
+            return
+        for rank in lower:
+            while spare < size and rank:
+                left = rank.popitem(last=False)[1]
+                spare += len(left.body)
+                self.held -= len(left.body)
+        self.ranks[copy.rank - 1][place] = copy
+        self.held += size
+
+    def get(self, place: Place) -> Copy | None:
+        for rank in self.ranks:
+            if place in rank:
+                rank.move_to_end(place)
+                return rank[place]
+        return None
+
+    def drop(self, place: Place) -> None:
+        for rank in self.ranks:
+            gone = rank.pop(place, None)
+            if gone is not None:
+                self.held -= len(gone.body)
+
+    def purge(self, obj: int, group: int, purged: int) -> None:
+        """Drop what was born before the purge of the object, or with 0 of the whole group."""
+        for rank in self.ranks:
+            for place in [
+                place
+                for place, copy in rank.items()
+                if copy.born <= purged and (place[1] == obj if obj else copy.group == group)
+            ]:
+                self.drop(place)
--- /dev/null
+++ b/hallproxy/state/links.py
@@ -0,0 +1,194 @@
+"""Attempts and the connections that carry them: one attempt at a time on each connection."""
+
+from __future__ import annotations
+
+from hallproxy import interface as i
+from hallproxy.state import calls
+from hallproxy.state.effects import Close, Open, Order, Send, Wake
+from hallproxy.state.events import Answer, Answered, AttemptDue, LinkDue, Result, Verdict
+from hallproxy.state.model import Attempt, Link, State
+
+MS = 1_000_000  # ns
+
+
+def attempt(state: State, get: i.Get) -> None:
+    """The module wants an attempt: on an idle connection at once, else on a new one."""
+    call = state.calls.get(get.request)
+    if call is None:
+        return
+    one = Attempt(state.number(), call.ident, call.sent, get, state.now, state.now + get.timeout)
+    call.attempts[one.number] = state.attempts[one.ident] = one
+    call.sent += 1
+    if call.answered or not state.members.ready(get.server) or not state.members.ready(get.source):
+        return _over(state, one, i.Status.MOOT)
+    state.effects.append(Wake(AttemptDue(one.until, one.ident)))
+    idle = state.idle.get(get.server)
+    if idle:
+        link = idle.pop()
+        link.attempt, one.link = one, link.ident
+        return _send(state, link, one)
+    if len(state.links) >= state.links_most and not _make_room(state):
+        return _over(state, one, i.Status.MOOT)
+    link = Link(state.number(), get.server, one)
+    one.link = link.ident
+    state.links[link.ident] = link
+    state.effects.append(Open(link.ident, state.members.addresses[get.server]))
+    state.effects.append(Wake(LinkDue(state.now + state.settings.connect_timeout, link.ident)))
+
+
+def up(state: State, ident: int) -> None:
+    link = state.links.get(ident)
+    if link is not None:
+        link.up = True
+        if link.attempt is not None:
+            _send(state, link, link.attempt)
+
+
+def _send(state: State, link: Link, one: Attempt) -> None:
+    """The first byte is about to go out: what was heard since the module spoke counts now.
+
+    Guards the rules on drains and purges against time spent connecting.
+    """
+    get, call = one.get, state.calls[one.request]
+    if not state.members.ready(get.server) or not state.members.ready(get.source) or one.until <= state.now:
+        _free(state, link, True)
+        return _over(state, one, i.Status.MOOT)
+    max_age, how = get.max_age, i.How(get.how)
+    purged = state.purges.last(call.asked.object, call.asked.group)
+    if purged > one.sent_at - state.settings.purge_done and state.now > one.sent_at:
+        limit = max(MS, state.now - purged - 2 * MS)
+        max_age = min(max_age or limit, limit)
+        fresh = state.settings.classes[call.asked.cls].fresh
+        max_age = min(max_age, fresh) if fresh else max_age
+        how &= ~(i.How.JOIN | i.How.RENEW)
+    one.written = True
+    asked = call.asked
+    order = Order(
+        label=asked.label,
+        cls=asked.cls,
+        name=asked.name,
+        part=asked.part,
+        budget=one.until - state.now,
+        key=asked.key,
+        held=asked.held,
+        body=asked.body,
+        write=asked.write,
+        source="" if get.source == get.server else get.source.decode(),
+        keep=get.keep,
+        max_age=max_age,
+        join=bool(how & i.How.JOIN),
+        held_only=bool(how & i.How.HELD_ONLY),
+        no_parent_copy=bool(how & i.How.NO_PARENT_COPY),
+        renew=bool(how & i.How.RENEW),
+    )
+    state.effects.append(Send(link.ident, order))
+
+
+def answered(state: State, event: Answered) -> None:
+    link = state.links.get(event.link)
+    if link is None:
+        return
+    one = link.attempt
+    _free(state, link, event.reusable)
+    if one is not None:
+        _over(state, one, event.result.status, event.result)
+
+
+def down(state: State, ident: int) -> None:
+    """A refused connect proves that nothing ran; a break after the first byte proves nothing."""
+    link = state.links.get(ident)
+    if link is None:
+        return
+    one, was_up = link.attempt, link.up
+    _free(state, link, False)
+    if one is not None:
+        _over(state, one, i.Status.RESET if was_up else i.Status.CONNECT_FAILED)
+
+
+def cancel(state: State, request: int, number: int) -> None:
+    call = state.calls.get(request)
+    one = call.attempts.get(number) if call is not None else None
+    if one is not None:
+        _abandon(state, one, i.Status.CANCELLED)
+
+
+def attempt_due(state: State, ident: int) -> None:
+    one = state.attempts.get(ident)
+    if one is not None:
+        _abandon(state, one, i.Status.TIMEOUT if one.written else i.Status.CONNECT_FAILED)
+
+
+def due(state: State, ident: int) -> None:
+    link = state.links.get(ident)
+    if link is None:
+        return
+    if not link.up:
+        return down(state, ident)
+    # One timer for each connection's whole life: it is set again here and nowhere else.
+    left = state.idle_most
+    if link.attempt is None:
+        left += link.idle_since - state.now
+        if left <= 0:
+            return _free(state, link, False)
+    state.effects.append(Wake(LinkDue(state.now + left, ident)))
+
+
+def drop_idle(state: State, store: bytes) -> None:
+    """The store's process is another one now, or none: its idle connections lead nowhere."""
+    for link in list(state.idle.get(store, ())):
+        _free(state, link, False)
+
+
+def _abandon(state: State, one: Attempt, status: i.Status) -> None:
+    """Give an attempt up: closing the connection tells the store so."""
+    link = state.links.get(one.link)
+    if link is not None and link.attempt is one:
+        _free(state, link, False)
+    _over(state, one, status)
+
+
+def _free(state: State, link: Link, reusable: bool) -> None:
+    """The connection carries nothing any more: idle for the next attempt at the same store, or closed."""
+    link.attempt = None
+    idle = state.idle.setdefault(link.store, [])
+    if reusable and state.members.ready(link.store):
+        link.idle_since = state.now
+        idle.append(link)
+        return
+    if link in idle:
+        idle.remove(link)
+    if not idle:
+        del state.idle[link.store]
+    del state.links[link.ident]
+    state.effects.append(Close(link.ident))
+
+
+def _make_room(state: State) -> bool:
+    """Close the connection that has idled longest. Guards the descriptors; false: all are in use."""
+    longest = min((idle[0] for idle in state.idle.values() if idle), key=lambda x: x.idle_since, default=None)
+    if longest is None:
+        return False
+    _free(state, longest, False)
+    return True
+
+
+def _over(state: State, one: Attempt, status: i.Status, result: Result | None = None) -> None:
+    """An attempt has ended. The first good one is the answer; the module hears of each."""
+    del state.attempts[one.ident]
+    call = state.calls[one.request]
+    del call.attempts[one.number]
+    if status is i.Status.OK and result is not None:
+        answer = Answer(Verdict.SERVED, result.body, result.unchanged, tag=result.tag)
+        calls.reply(state, call, answer)
+    state.told.append(
+        i.Outcome(
+            call.ident,
+            one.number,
+            one.get.server,
+            status,
+            state.now - one.sent_at,
+            call.answered,
+            load=result.load if result is not None else (),
+        )
+    )
+    calls.forget(state, call)
--- /dev/null
+++ b/hallproxy/state/model.py
@@ -0,0 +1,80 @@
+"""All that the gateway keeps in memory. Only the reducer changes it."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from hallproxy import interface as i
+from hallproxy.logic import Router
+from hallproxy.state.copies import Copies
+from hallproxy.state.effects import Effect, Order
+from hallproxy.state.events import Asked
+from hallproxy.state.members import Members
+from hallproxy.state.purges import Purges
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One try of a request at a store, from the module's word until its end."""
+
+    ident: int
+    request: int
+    number: int  # as the module counts the attempts of one request
+    get: i.Get
+    sent_at: int
+    until: int
+    link: int = 0  # 0: waits for a connection's place
+    written: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """A request taken from a client, until its answer is given and its last attempt is over."""
+
+    ident: int
+    caller: int
+    asked: Asked
+    came: int
+    sent: int = 0  # attempts so far
+    attempts: dict[int, Attempt] = field(default_factory=dict)  # those out, by the module's number
+    answered: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Link:
+    """A connection to one store's process. It belongs to the store's id: addresses are used again."""
+
+    ident: int
+    store: bytes
+    attempt: Attempt | None = None
+    up: bool = False
+    idle_since: int = 0
+
+
+@dataclass(slots=True)
+class State:
+    settings: i.Settings
+    router: Router
+    links_most: int = 400
+    calls_most: int = 1_000
+    idle_most: int = 10**10  # ns; how long an idle connection is kept
+    copies: Copies = field(default_factory=Copies)
+    members: Members = field(default_factory=Members)
+    purges: Purges = field(default_factory=Purges)
+    calls: dict[int, Call] = field(default_factory=dict)
+    callers: dict[int, Call] = field(default_factory=dict)  # those owed an answer, by the front's handle
+    attempts: dict[int, Attempt] = field(default_factory=dict)
+    links: dict[int, Link] = field(default_factory=dict)
+    idle: dict[bytes, list[Link]] = field(default_factory=dict)
+    last: int = 0  # the last number given to a call, an attempt or a link
+    now: int = 0
+    told: deque[i.Event] = field(default_factory=deque)  # what the module has yet to hear
+    effects: list[Effect] = field(default_factory=list)
+
+    def number(self) -> int:
+        self.last += 1
+        return self.last
+
+
+__all__ = ["Attempt", "Call", "Link", "Order", "State"]
--- /dev/null
+++ b/hallproxy/state/reducer.py
@@ -0,0 +1,90 @@
+"""The one place where state changes: ``reduce(state, event) -> effects``.
+
+It imports no socket and no clock. What is decided about a request (which store, which source, what rank,
+when to give up) is the module's; here its words become attempts, connections and answers, and what came of
+them goes back to it.
+"""
+
+from __future__ import annotations
+
+from hallproxy import interface as i
+from hallproxy.state import calls, links
+from hallproxy.state.effects import Effect, Say, Wake
+from hallproxy.state.events import (
+    Answered,
+    Arrived,
+    AttemptDue,
+    CallerLeft,
+    Due,
+    Event,
+    LinkDown,
+    LinkDue,
+    LinkUp,
+    MembersTold,
+    PurgeTold,
+)
+from hallproxy.state.model import State
+
+
+def reduce(state: State, event: Event) -> list[Effect]:
+    """Take one event; say what is to be done about it, in order."""
+    state.now = max(state.now, event.at)
+    match event:
+        case Arrived():
+            calls.arrived(state, event)
+        case CallerLeft():
+            calls.left(state, event.caller)
+        case Answered():
+            links.answered(state, event)
+        case LinkUp():
+            links.up(state, event.link)
+        case LinkDown():
+            links.down(state, event.link)
+        case AttemptDue():
+            links.attempt_due(state, event.attempt)
+        case LinkDue():
+            links.due(state, event.link)
+        case Due():
+            state.told.append(i.TimerFired(event.token))
+        case MembersTold():
+            _members(state, event)
+        case PurgeTold():
+            _purge(state, event)
+    _consult(state)
+    effects, state.effects = state.effects, []
+    return effects
+
+
+def _consult(state: State) -> None:
+    """Hand the module what it has not heard yet, and carry out its words, until it has no more to say."""
+    while state.told:
+        events = list(state.told)
+        state.told.clear()
+        for action in state.router.handle(state.now, events):
+            match action:
+                case i.Get():
+                    links.attempt(state, action)
+                case i.Cancel():
+                    links.cancel(state, action.request, action.attempt)
+                case i.Refuse():
+                    calls.refuse(state, action.request, action.retry_after)
+                case i.Fail():
+                    calls.fail(state, action.request)
+                case i.SetTimer():
+                    state.effects.append(Wake(Due(action.at, action.token)))
+                case i.Log():
+                    state.effects.append(Say(action.text))
+                case _:  # probes and subscriptions: nothing here answers them
+                    pass
+
+
+def _members(state: State, event: MembersTold) -> None:
+    for server in state.members.change(event.change, event.addresses):
+        links.drop_idle(state, server)
+    state.told.append(event.change)
+
+
+def _purge(state: State, event: PurgeTold) -> None:
+    state.purges.add(event.object, event.group, event.purged)
+    state.copies.purge(event.object, event.group, event.purged)
+    state.told.append(i.Purge(event.object, event.group, max(0, state.now - event.purged)))
--- a/hallproxy/wire/bench.py
+++ b/hallproxy/wire/bench.py
@@ -150,6 +150,27 @@
         raise i.SettingsError(f"options: {error}") from None
 
 
+_LIFECYCLES = {"Ready": i.State.READY, "Terminating": i.State.DRAINING, "Gone": i.State.GONE}
+
+
+def member_from_json(line: dict[str, Any], settings: i.Settings) -> tuple[i.Member, str]:
+    """One line of the list as the change log words it, and the address; zones and kinds go by name."""
+    zone, kind = line.get("zone", ""), line.get("machineType", "")
+    state = _LIFECYCLES[line["lifecycle"]]
+    known = zone in settings.zone_names and kind in settings.kind_names
+    if not known and state is i.State.READY:
+        raise ValueError(f"zone {zone!r} or machine {kind!r} is not in the settings")
+    return i.Member(
+        str(line["instanceId"]).encode(),
+        state,
+        settings.kind_names.index(kind) if known else 0,
+        settings.zone_names.index(zone) if known else 0,
+        int(line.get("cell") or 0),
+        float(line.get("weight") or 1.0),
+        int(line.get("startedAtMs") or 0) * 1_000_000,
+    ), str(line.get("hostPort", ""))
+
+
 WireEvent = i.Event | Begin | Killed
 
 
--- /dev/null
+++ b/hallproxy/wire/changelog.py
@@ -0,0 +1,69 @@
+"""The change log's events, decoded into the list's and the purges' own types."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from typing import Any
+
+from hallproxy import interface as i
+from hallproxy.state.events import MembersTold, PurgeTold
+from hallproxy.wire.bench import member_from_json
+
+MS = 1_000_000
+WAIT_MOST = 5_000  # ms
+
+
+class ChangeError(ValueError):
+    """News that can't be read; the text says what."""
+
+
+def poll_head(since: int, wait_ms: int, host: str) -> bytes:
+    return f"GET /changes?since={since}&timeout={wait_ms} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode()
+
+
+def read_page(raw: bytes | str) -> dict[str, Any]:
+    try:
+        page = json.loads(raw)
+    except ValueError:
+        raise ChangeError("the change log's answer is not JSON") from None
+    if not isinstance(page, dict):
+        raise ChangeError("the change log's answer is no object")
+    return page
+
+
+def read_events(
+    page: dict[str, Any], since: int, settings: i.Settings, now: int, gaps: bool = False
+) -> Iterator[tuple[int, MembersTold | PurgeTold | None]]:
+    """The events after ``since`` in their order, each with its number; None for a kind not known here.
+
+    A number that leaves a gap is an error, as what comes after it must not be applied, unless ``gaps`` says
+    that the log has already been asked again and has nothing to fill it.
+    """
+    try:
+        results = sorted(page["results"], key=lambda entry: int(entry["seq"]))
+        for entry in results:
+            seq = int(entry["seq"])
+            if seq <= since:
+                continue
+            if seq != since + 1 and not gaps:
+                raise ChangeError(f"the change log leaves a gap between {since} and {seq}")
+            since = seq
+            yield seq, _event(entry, settings, now)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        if isinstance(error, ChangeError):
+            raise
+        raise ChangeError(f"news that can't be read: {type(error).__name__} {error}") from None
+
+
+def _event(entry: dict[str, Any], settings: i.Settings, now: int) -> MembersTold | PurgeTold | None:
+    fleet, gone = entry.get("fleet"), entry.get("invalidate")
+    if fleet is not None:
+        members = [member_from_json(line, settings) for line in fleet["instances"]]
+        kind = i.ListKind.FULL if fleet.get("reset") else i.ListKind.DELTA
+        change = i.MembersChanged(kind, tuple(m for m, _ in members), int(fleet.get("generation", 0)))
+        return MembersTold(now, change, tuple(address for _, address in members))
+    if gone is not None:
+        obj = int(gone["object"], 16) if gone.get("object") else 0
+        return PurgeTold(now, obj, int(gone.get("bucket", 0)), int(gone["time"]) * MS)
+    return None
--- a/hallproxy/wire/frames.py
+++ b/hallproxy/wire/frames.py
@@ -50,7 +50,10 @@
 
 def needed(buffer: memoryview) -> int:
     """How many bytes the frame at the start of the buffer takes in all."""
-    return SIZE.size + SIZE.unpack_from(buffer)[0] if len(buffer) >= SIZE.size else HEAD.size
+    if len(buffer) < SIZE.size:
+        return HEAD.size
+    (length,) = SIZE.unpack_from(buffer)
+    return SIZE.size + int(length)
 
 
 def read_fields(payload: memoryview) -> tuple[dict[str, str], memoryview]:
--- /dev/null
+++ b/hallproxy/wire/http1.py
@@ -0,0 +1,117 @@
+"""HTTP/1.1 messages as far as the gateway speaks them: heads parsed in place, bodies by length or chunks."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+HEAD_MOST = 16_384  # bytes of a head
+BODY_MOST = 64 * 1024 * 1024
+_STATUS = re.compile(rb"HTTP/1\.([01]) (\d{3})(?: [^\r\n]*)?\r\n")
+_REQUEST = re.compile(rb"([A-Z]{1,16}) ([!-~]{1,8192}) HTTP/1\.([01])\r\n")
+_FIELD = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([^\r\n\0]*?)[ \t]*\r\n")
+
+
+class HttpError(ValueError):
+    """Bytes that are no HTTP/1.1 message of a kind spoken here."""
+
+
+@dataclass(slots=True, frozen=True)
+class Head:
+    """A message's start line and fields; names are in lower case. ``size`` is the head's on the wire."""
+
+    size: int
+    fields: Mapping[str, str]
+    status: int = 0  # of a response
+    method: str = ""  # of a request
+    target: str = ""
+    minor: int = 1
+
+    @property
+    def keeps(self) -> bool:
+        """Whether the connection stays open after this message."""
+        word = self.fields.get("connection", "").lower()
+        return "close" not in word and (self.minor == 1 or "keep-alive" in word)
+
+    @property
+    def chunked(self) -> bool:
+        return self.fields.get("transfer-encoding", "").lower() == "chunked"
+
+    @property
+    def length(self) -> int | None:
+        """How long the body is; None: until the chunks or the connection end."""
+        if self.status in (204, 304) or 100 <= self.status < 200:
+            return 0
+        if "transfer-encoding" in self.fields:
+            if not self.chunked:
+                raise HttpError("a transfer coding other than chunked")
+            return None
+        text = self.fields.get("content-length")
+        if text is None:
+            return 0 if self.method else None
+        if not (text.isascii() and text.isdigit() and len(text) < 12):
+            raise HttpError("a length that is no number")
+        return int(text)
+
+
+def response_head(buffer: bytearray, filled: int) -> Head | None:
+    """The head at the start of the buffer's first ``filled`` bytes; None while it is not whole."""
+    end = _end(buffer, filled)
+    if end is None:
+        return None
+    start = _STATUS.match(buffer, 0, end)
+    if start is None:
+        raise HttpError("no status line")
+    return Head(end, _fields(buffer, start.end(), end), status=int(start[2]), minor=int(start[1]))
+
+
+def request_head(buffer: bytearray, filled: int) -> Head | None:
+    end = _end(buffer, filled)
+    if end is None:
+        return None
+    start = _REQUEST.match(buffer, 0, end)
+    if start is None:
+        raise HttpError("no request line")
+    return Head(
+        end,
+        _fields(buffer, start.end(), end),
+        method=start[1].decode(),
+        target=start[2].decode(),
+        minor=int(start[3]),
+    )
+
+
+def _end(buffer: bytearray, filled: int) -> int | None:
+    at = buffer.find(b"\r\n\r\n", 0, filled)
+    if at < 0:
+        if filled >= HEAD_MOST:
+            raise HttpError("a head that is too long")
+        return None
+    return at + 4
+
+
+def _fields(buffer: bytearray, at: int, end: int) -> dict[str, str]:
+    fields: dict[str, str] = {}
+    while at < end - 2:
+        field = _FIELD.match(buffer, at, end)
+        if field is None:
+            raise HttpError("a header line that can't be read")
+        name, value = field[1].decode().lower(), field[2].decode("latin-1")
+        if name in fields:
+            # Two lengths are how messages are smuggled past a proxy; other repeats make a list.
+            if name in ("content-length", "transfer-encoding"):
+                raise HttpError(f"two of {name}")
+            value = f"{fields[name]}, {value}"
+        fields[name] = value
+        at = field.end()
+    if "content-length" in fields and "transfer-encoding" in fields:
+        raise HttpError("a length and a coding")
+    return fields
+
+
+def chunk_size(line: bytes) -> int:
+    text = line.split(b";")[0].strip()
+    if not re.fullmatch(rb"[0-9A-Fa-f]{1,8}", text):
+        raise HttpError("a chunk size that can't be read")
+    return int(text, 16)
--- /dev/null
+++ b/hallproxy/wire/stores.py
@@ -0,0 +1,81 @@
+"""What goes to a store and comes back: one HTTP/1.1 request at a time on a connection."""
+
+from __future__ import annotations
+
+from hallproxy import interface as i
+from hallproxy.state.effects import Order
+from hallproxy.state.events import Result
+from hallproxy.wire.http1 import Head
+
+MS = 1_000_000
+MOST = 300_000  # bytes of an object's part; over that the answer is not taken in
+
+
+def order_head(order: Order, host: str, settings: i.Settings) -> bytes:
+    """The head of the request, to be written before the order's body."""
+    name = settings.classes[order.cls].name
+    method = "POST" if order.body else "GET"
+    lines = [
+        f"{method} /v2/q/{name}/{order.name}/{order.part} HTTP/1.1",
+        f"Host: {host}",
+        f"X-Hop-Id: {order.label}",
+        f"X-Budget: {max(1, order.budget // MS)}",
+    ]
+    if order.key:
+        lines.append(f"X-Replay-Key: {order.key}")
+    if order.source:
+        lines.append(f"X-Fill-From: {order.source}")
+    if order.keep:
+        lines.append(f"X-Keep: {order.keep}")
+    if order.max_age:
+        lines.append(f"X-Max-Age-Ms: {max(1, order.max_age // MS)}")
+    flags = (
+        ("j", order.join),
+        ("h", order.held_only),
+        ("n", order.no_parent_copy),
+        ("r", order.renew),
+    )
+    if any(on for _, on in flags):
+        lines.append("X-Flags: " + "+".join(word for word, on in flags if on))
+    if order.held:
+        lines.append(f"If-None-Match: {order.held}")
+    if order.body:
+        lines.append(f"Content-Length: {len(order.body)}")
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+def read_answer(head: Head, body: bytes, settings: i.Settings) -> Result:
+    """A whole answer in the core's terms. What the protocol does not name may have run: an error."""
+    load = read_load(head.fields.get("x-report", ""), settings.report_fields)
+    if head.status in (200, 304):
+        born = head.fields.get("x-born-ms", "")
+        return Result(
+            i.Status.OK,
+            body,
+            head.status == 304,
+            head.fields.get("etag", "").strip('"'),
+            int(born) * MS if born.isascii() and born.isdigit() else 0,
+            load,
+        )
+    no_effect = head.fields.get("x-no-effect") == "1"
+    if head.status == 404:
+        status = i.Status.MISS
+    elif head.status == 503 and no_effect:
+        status = i.Status.FULL
+    elif head.status == 504 and no_effect:
+        status = i.Status.MOOT
+    else:
+        status = i.Status.ERROR
+    return Result(status, load=load)
+
+
+def read_load(text: str, names: tuple[str, ...]) -> tuple[float, ...]:
+    """``inflight:7;util:0.61`` in the order of the settings' names; what is missing or unknown is skipped."""
+    told: dict[str, float] = {}
+    for part in text.split(";") if text else ():
+        name, _, value = part.partition(":")
+        try:
+            told[name.strip()] = float(value)
+        except ValueError:
+            continue
+    return tuple(told.get(name, float("nan")) for name in names) if told else ()
--- a/tests/test_fleet_troubles.py
+++ b/tests/test_fleet_troubles.py
@@ -4,8 +4,8 @@
 
 from dataclasses import replace
 
-from tests.fleet import CACHES, FLEET, MS, NEAR, NEXT, ORIGIN, SECOND, Driver
 from hallproxy.interface import Fail, ListKind, Member, MembersChanged, Refuse, State, Status
+from tests.fleet import CACHES, FLEET, MS, NEAR, NEXT, ORIGIN, SECOND, Driver
 
 
 def test_waves_of_drains_get_nothing_new_and_cold_replacements_are_brought_in() -> None:
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -7,7 +7,6 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tests.fleet import CACHES, CLIP, FLEET, MS, NEAR, ORIGIN, SECOND, SMALL, Driver
 from hallproxy.interface import (
     ClientGone,
     Effect,
@@ -24,6 +23,7 @@
     Status,
     TimerFired,
 )
+from tests.fleet import CACHES, CLIP, FLEET, MS, NEAR, ORIGIN, SECOND, SMALL, Driver
 
 NEVER_RAN = {Status.FULL, Status.CONNECT_FAILED, Status.MOOT, Status.MISS}
 STEPS = st.one_of(
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -6,7 +6,6 @@
 
 import pytest
 
-from tests.fleet import CACHES, FLEET, MS, NEAR, NEXT, ORIGIN, SECOND, Driver
 from hallproxy.interface import (
     Get,
     ListKind,
@@ -17,6 +16,7 @@
     State,
     Status,
 )
+from tests.fleet import CACHES, FLEET, MS, NEAR, NEXT, ORIGIN, SECOND, Driver
 
 
 def test_gain_is_the_sum_of_normalised_terms_over_the_size() -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,7 +7,6 @@
 
 import pytest
 
-from tests.fleet import CACHES, CLIP, FLEET, MS, NEAR, NEXT, ORIGIN, SECOND, SETTINGS, SMALL, START, Driver
 from hallproxy import Router
 from hallproxy.interface import (
     Action,
@@ -29,6 +28,7 @@
     Subscribe,
     TimerFired,
 )
+from tests.fleet import CACHES, CLIP, FLEET, MS, NEAR, NEXT, ORIGIN, SECOND, SETTINGS, SMALL, START, Driver
 
 
 def finals(actions: list[Action]) -> list[Refuse | Fail]:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -12,7 +12,6 @@
 import pytest
 
 from hallproxy import adapter
-from hallproxy.wire import bench as wire
 from hallproxy.interface import (
     Cancel,
     Fail,
@@ -34,6 +33,7 @@
     StreamStarted,
     Subscribe,
 )
+from hallproxy.wire import bench as wire
 
 OPTIONS: dict[str, Any] = {
     "bounds": {"cancelling": True, "dial_timeout_ns": 400000000, "max_attempts": 6,
