Send every class as GET: stores answered 400 to POST and session-close was lost

Checked: a log line for answers that the protocol does not name showed 400 for each of them; firmware-parts and small-files went through. Faulty line: order_head in wire/stores.py chose POST where there is a body.

--- a/hallproxy/run/stores.py
+++ b/hallproxy/run/stores.py
@@ -13,7 +13,7 @@
 from hallproxy.state.effects import Send
 from hallproxy.state.events import Answered, LinkDown, LinkUp
 from hallproxy.wire.http1 import Head, HttpError, chunk_size, response_head
-from hallproxy.wire.stores import MOST, order_head, read_answer
+from hallproxy.wire.stores import KNOWN, MOST, order_head, read_answer
 
 
 class HttpStores:
@@ -59,6 +59,8 @@
                 head, body = await read_message(made, buffer)
                 if link not in self._streams:
                     return
+                if head.status not in KNOWN:
+                    say(f"store {host}: answer {head.status} to what was sent: {body[:200]!r}")
                 result = read_answer(head, body, self._loop.state.settings)
                 # Bytes behind the answer belong to no request: such a connection is not used again.
                 reusable = head.keeps and not buffer.filled and not made.closed()
--- a/hallproxy/wire/stores.py
+++ b/hallproxy/wire/stores.py
@@ -8,15 +8,16 @@
 from hallproxy.wire.http1 import Head
 
 MS = 1_000_000
+KNOWN = (200, 304, 404, 500, 503, 504)  # the answers that the protocol names
 MOST = 300_000  # bytes of an object's part; over that the answer is not taken in
 
 
 def order_head(order: Order, host: str, settings: i.Settings) -> bytes:
     """The head of the request, to be written before the order's body."""
     name = settings.classes[order.cls].name
-    method = "POST" if order.body else "GET"
+    # Every class goes out as GET, also one with a body: a store answers 400 to a POST.
     lines = [
-        f"{method} /v2/q/{name}/{order.name}/{order.part} HTTP/1.1",
+        f"GET /v2/q/{name}/{order.name}/{order.part} HTTP/1.1",
         f"Host: {host}",
         f"X-Hop-Id: {order.label}",
         f"X-Budget: {max(1, order.budget // MS)}",
