Keep own copies by the module's rank and serve them while the link has room

So a first look now wants room on the link (0.4 of the aim), and what the module gives up is answered from a copy if one will do.

--- a/hallproxy/interface.py
+++ b/hallproxy/interface.py
@@ -211,6 +211,13 @@
     write: bool = False
 
 
+@dataclass(slots=True, frozen=True)
+class Seen:
+    """A request answered from the router's own memory: nothing is owed, but it was asked for."""
+
+    object: int
+
+
 @dataclass(slots=True, frozen=True)
 class Outcome:
     """How one attempt ended; ``closed`` when the client's request is over by it or was before."""
@@ -270,6 +277,7 @@
 Event = (
     MembersChanged
     | Request
+    | Seen
     | Outcome
     | StreamStarted
     | ClientGone
--- a/hallproxy/logic.py
+++ b/hallproxy/logic.py
@@ -195,6 +195,8 @@
             match event:
                 case i.Request():
                     self._request(event)
+                case i.Seen():
+                    self.counts[event.object] = self.counts.get(event.object, 0.0) + 1.0
                 case i.Outcome():
                     self._outcome(event)
                 case i.MembersChanged():
--- a/hallproxy/run/main.py
+++ b/hallproxy/run/main.py
@@ -22,6 +22,7 @@
 from hallproxy.wire.changelog import ChangeError
 
 RESERVE = 48  # descriptors for the listener, the change log, the log and what is just being closed
+OTHER_MB = 64  # of the memory limit that own copies leave to all else; a quarter of the rest is slack
 ACCEPT_FOR = 0.8  # s after SIGTERM in which new connections and requests may still come
 NO_MORE_AFTER = 0.45  # s after SIGTERM at which clients are told, once the front has turned away
 QUIET_FOR = 0.3  # s without a new request or connection before the end
@@ -34,6 +35,8 @@
     if config.settings.idle_close:
         # Closed here before the store does it: a request must not meet a connection being closed.
         state.idle_most = max(SECOND, config.settings.idle_close - 3 * SECOND)
+    state.copies.most = max(0, config.memory_mb - OTHER_MB) * 1024 * 1024 * 3 // 4
+    state.uplink.flow, state.uplink.link = config.flow, config.link
     return state
 
 
@@ -81,6 +84,7 @@
         quiet = clock() - max(clients.asked_at, began) >= QUIET_FOR
         if told and clock() - began >= ACCEPT_FOR and quiet and not loop.state.callers:
             break
+    say(f"own copies served {loop.state.own_served}, hold {loop.state.copies.held} bytes")
     say("stopped: all is answered")
 
 
--- a/hallproxy/state/calls.py
+++ b/hallproxy/state/calls.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 from hallproxy import interface as i
+from hallproxy.state.copies import Copy
 from hallproxy.state.effects import Reply
-from hallproxy.state.events import Answer, Arrived, Verdict
+from hallproxy.state.events import Answer, Arrived, Asked, Result, Verdict
 from hallproxy.state.model import Call, State
 
+SECOND = 1_000_000_000  # ns
+AGE_MARGIN = 50_000_000  # ns under the fresh time at which an own copy is held to be too old
+UNCHANGED_PART = 20  # telling a client that its copy holds costs this part of sending it
+OWN_BY = 0.4  # share of the aim by which an own copy must have left the link, to be taken before a store's
 BUSY_RETRY = 200_000_000  # ns of advice when more is open than the gateway may hold
 
 
@@ -16,6 +21,11 @@
         # Guards memory: what is open is bounded, and over that a plain no costs least.
         state.effects.append(Reply(event.caller, Answer(Verdict.REFUSED, retry_after=BUSY_RETRY)))
         return
+    own = own_copy(state, asked, OWN_BY, asked.left)
+    if own is not None:
+        state.effects.append(Reply(event.caller, own))
+        state.told.append(i.Seen(asked.object))
+        return
     call = Call(state.number(), event.caller, asked, state.now)
     state.calls[call.ident] = state.callers[event.caller] = call
     state.told.append(
@@ -33,6 +43,40 @@
     )
 
 
+def own_copy(state: State, asked: Asked, by: float, left: int) -> Answer | None:
+    """An answer from memory, if a copy is young enough and the link would have it there in time."""
+    cls = state.settings.classes[asked.cls]
+    place = (asked.cls, asked.object, asked.part)
+    copy = state.copies.get(place) if state.copies.held and not asked.write else None
+    if copy is None:
+        return None
+    too_old = cls.fresh and state.now - copy.born > cls.fresh - AGE_MARGIN
+    if too_old or copy.born <= state.purges.last(asked.object, copy.group):
+        state.copies.drop(place)
+        return None
+    unchanged = bool(copy.tag) and copy.tag == asked.held
+    size = len(copy.body) // UNCHANGED_PART if unchanged else len(copy.body)
+    work = asked.size_kb / state.settings.flow_kb_s if state.settings.flow_kb_s else 0.0
+    aim = cls.aim + int(cls.aim_stretch * work * SECOND)
+    done = state.uplink.done_at(state.now, size) - state.now
+    if done > min(by * aim, left):
+        return None  # the link is crowded: a store sends it sooner
+    state.uplink.take(state.now, size)
+    state.own_served += 1
+    return Answer(Verdict.SERVED, b"" if unchanged else copy.body, unchanged, tag=copy.tag)
+
+
+def keep(state: State, call: Call, get: i.Get, result: Result) -> None:
+    """Keep what the module ranks for keeping, unless a purge has overtaken it on its way here."""
+    asked = call.asked
+    if not get.keep or asked.write or result.unchanged or not result.born:
+        return
+    if result.born <= state.purges.last(asked.object, asked.group):
+        return
+    copy = Copy(result.body, result.tag, result.born, asked.group, get.keep)
+    state.copies.put((asked.cls, asked.object, asked.part), copy)
+
+
 def left(state: State, caller: int) -> None:
     """Nobody waits any more: no answer is owed, and what is out for it is given up."""
     call = state.callers.pop(caller, None)
@@ -53,15 +97,19 @@
 
 
 def refuse(state: State, ident: int, retry_after: int) -> None:
-    call = state.calls.get(ident)
-    if call is not None:
-        reply(state, call, Answer(Verdict.REFUSED, retry_after=retry_after))
+    _give_up(state, ident, Answer(Verdict.REFUSED, retry_after=retry_after))
 
 
 def fail(state: State, ident: int) -> None:
+    _give_up(state, ident, Answer(Verdict.FAILED))
+
+
+def _give_up(state: State, ident: int, answer: Answer) -> None:
+    """The module has given the request up. A copy held here still serves it, else it hears so at once."""
     call = state.calls.get(ident)
-    if call is not None:
-        reply(state, call, Answer(Verdict.FAILED))
+    if call is not None and not call.answered:
+        left = call.came + call.asked.left - state.now
+        reply(state, call, own_copy(state, call.asked, 1.0, left) or answer)
 
 
 def forget(state: State, call: Call) -> None:
--- a/hallproxy/state/copies.py
+++ b/hallproxy/state/copies.py
@@ -5,6 +5,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
+SECOND = 1_000_000_000  # ns
 Place = tuple[int, int, int]  # class, object, part
 
 
@@ -17,6 +18,24 @@
     rank: int
 
 
+@dataclass(slots=True)
+class Uplink:
+    """When the bytes of an own copy will have left: each transfer at its pace, all on one link in order."""
+
+    flow: int = 0  # bytes a second of one transfer; 0: not told
+    link: int = 0  # bytes a second of all together
+    free_at: int = 0  # ns; when the link has sent what it was given
+
+    def done_at(self, now: int, size: int) -> int:
+        if not self.flow or not self.link:
+            return now
+        return max(now + size * SECOND // self.flow, max(now, self.free_at) + size * SECOND // self.link)
+
+    def take(self, now: int, size: int) -> None:
+        if self.link:
+            self.free_at = max(now, self.free_at) + size * SECOND // self.link
+
+
 @dataclass(slots=True)
 class Copies:
     most: int = 0  # bytes; 0: none are kept
--- a/hallproxy/state/links.py
+++ b/hallproxy/state/links.py
@@ -180,6 +180,7 @@
     if status is i.Status.OK and result is not None:
         answer = Answer(Verdict.SERVED, result.body, result.unchanged, tag=result.tag)
         calls.reply(state, call, answer)
+        calls.keep(state, call, one.get, result)
     state.told.append(
         i.Outcome(
             call.ident,
--- a/hallproxy/state/model.py
+++ b/hallproxy/state/model.py
@@ -7,7 +7,7 @@
 
 from hallproxy import interface as i
 from hallproxy.logic import Router
-from hallproxy.state.copies import Copies
+from hallproxy.state.copies import Copies, Uplink
 from hallproxy.state.effects import Effect, Order
 from hallproxy.state.events import Asked
 from hallproxy.state.members import Members
@@ -60,6 +60,8 @@
     calls_most: int = 1_000
     idle_most: int = 10**10  # ns; how long an idle connection is kept
     copies: Copies = field(default_factory=Copies)
+    uplink: Uplink = field(default_factory=Uplink)
+    own_served: int = 0
     members: Members = field(default_factory=Members)
     purges: Purges = field(default_factory=Purges)
     calls: dict[int, Call] = field(default_factory=dict)
