--- /dev/null
+++ b/hallproxy/run/contracts.py
@@ -0,0 +1,234 @@
+"""Contracts as people write them, and ``plan`` and ``apply``, which bring them into force.
+
+A TOML file says what should hold; the applied state is a JSON file that only ``apply`` writes. A plan is the
+difference between the two at one moment, and is worth nothing once what it was made from has changed.
+"""
+
+from __future__ import annotations
+
+import fcntl
+import hashlib
+import json
+import os
+import re
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from fnmatch import fnmatchcase
+from pathlib import Path
+from typing import Any
+
+from hallproxy.state.contracts import Contract, Contracts
+
+FORMAT = 1
+MS = 1_000_000
+SECOND = 1_000_000_000
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+_CONTRACT = {"team": str, "service": str, "class": str, "deadline_ms": int, "requests": int, "bytes": int,
+             "window_s": int}  # fmt: skip
+Document = dict[str, Any]
+
+
+class ContractError(ValueError):
+    """A contracts file, plan or applied state that can't be used; the text is one plain line."""
+
+
+@dataclass(slots=True, frozen=True)
+class Applied:
+    """What is in force, as the fronts and the core need it."""
+
+    contracts: Contracts = field(default_factory=Contracts)
+    tokens: Mapping[str, str] = field(default_factory=dict)  # team -> SHA-256 of its token
+    services: Mapping[str, tuple[str, ...]] = field(default_factory=dict)  # -> patterns of projects
+
+    def service_of(self, project: str) -> str:
+        """The first service, by name, one of whose patterns the project matches; empty: none."""
+        for name, patterns in sorted(self.services.items()):
+            if any(fnmatchcase(project, pattern) for pattern in patterns):
+                return name
+        return ""
+
+
+def empty() -> Document:
+    return {"teams": {}, "services": {}, "contracts": {}}
+
+
+def read_file(path: Path) -> Document:
+    """A contracts file, checked and brought into the one form that plans compare."""
+    try:
+        top = tomllib.loads(path.read_text("utf-8"))
+    except OSError as error:
+        raise ContractError(f"{path} can't be read: {error.strerror}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise ContractError(f"{path} is not TOML: {error}") from None
+    try:
+        return check(top)
+    except ContractError as error:
+        raise ContractError(f"{path}: {error}") from None
+
+
+def check(top: Document) -> Document:
+    _only(top, ("teams", "services", "contracts"), "the file")
+    document = empty()
+    for name, team in _tables(top, "teams"):
+        _only(team, ("token_sha256",), f"team {name}")
+        token = team.get("token_sha256", "")
+        if not isinstance(token, str) or not re.fullmatch(r"[0-9a-f]{64}", token):
+            raise ContractError(f"team {name}: token_sha256 is not 64 hex digits")
+        document["teams"][name] = {"token_sha256": token}
+    for name, service in _tables(top, "services"):
+        _only(service, ("projects",), f"service {name}")
+        projects = service.get("projects")
+        if not isinstance(projects, list) or not projects or not all(isinstance(p, str) for p in projects):
+            raise ContractError(f"service {name}: projects is not a list of patterns")
+        document["services"][name] = {"projects": projects}
+    contracts = top.get("contracts", [])
+    if not isinstance(contracts, list) or not all(isinstance(c, dict) for c in contracts):
+        raise ContractError("contracts is not a list of tables")
+    for number, contract in enumerate(contracts, 1):
+        where = f"contract {number}"
+        _only(contract, tuple(_CONTRACT), where)
+        for key, kind in _CONTRACT.items():
+            value = contract.get(key, kind())
+            if type(value) is not kind or (isinstance(value, int) and not 0 <= value < 1 << 53):
+                raise ContractError(f"{where}: {key} is {value!r}")
+        for key, known in (("team", "teams"), ("service", "services")):
+            if contract.get(key) not in document[known]:
+                raise ContractError(f"{where}: {key} {contract.get(key)!r} is not among the {known}")
+        if contract.get("window_s") == 0:
+            raise ContractError(f"{where}: window_s is 0")
+        key = f"{contract['team']}/{contract['service']}/{contract.get('class', '')}"
+        if key in document["contracts"]:
+            raise ContractError(f"{where}: a second one for {key}")
+        document["contracts"][key] = dict(contract)
+    return document
+
+
+def _only(table: Mapping[str, Any], known: tuple[str, ...], where: str) -> None:
+    for key in table:
+        if key not in known:
+            raise ContractError(f"{where}: unknown key {key!r}")
+
+
+def _tables(top: Document, key: str) -> list[tuple[str, Document]]:
+    tables = top.get(key, {})
+    if not isinstance(tables, dict) or not all(isinstance(t, dict) for t in tables.values()):
+        raise ContractError(f"{key} is no table of tables")
+    for name in tables:
+        if not _NAME.fullmatch(name):
+            raise ContractError(f"{key}: {name!r} is no name")
+    return sorted(tables.items())
+
+
+def _digest(document: Document) -> str:
+    return hashlib.sha256(json.dumps(document, sort_keys=True).encode()).hexdigest()
+
+
+def read_applied(path: Path) -> tuple[int, Document]:
+    """The serial number and the contents of what is applied; (0, nothing) before the first time."""
+    try:
+        top = json.loads(path.read_text("utf-8"))
+        if top["format"] != FORMAT or top["digest"] != _digest(top["document"]):
+            raise ContractError(f"{path}: not written by apply, or changed since")
+        return int(top["serial"]), top["document"]
+    except FileNotFoundError:
+        return 0, empty()
+    except OSError as error:
+        raise ContractError(f"{path} can't be read: {error.strerror}") from None
+    except ContractError:
+        raise
+    except (ValueError, KeyError, TypeError):
+        raise ContractError(f"{path} holds no applied state") from None
+
+
+def in_force(document: Document) -> Applied:
+    held = tuple(
+        Contract(
+            c["team"],
+            c["service"],
+            c.get("class", ""),
+            c.get("deadline_ms", 0) * MS,
+            c.get("requests", 0),
+            c.get("bytes", 0),
+            c.get("window_s", 60) * SECOND,
+        )
+        for c in document["contracts"].values()
+    )
+    return Applied(
+        Contracts(held),
+        {name: team["token_sha256"] for name, team in document["teams"].items()},
+        {name: tuple(service["projects"]) for name, service in document["services"].items()},
+    )
+
+
+def difference(old: Document, new: Document) -> list[str]:
+    """One line for each thing that comes (+), goes (-) or changes (~)."""
+    lines: list[str] = []
+    for kind, word in (("teams", "team"), ("services", "service"), ("contracts", "contract")):
+        for name in sorted({*old[kind], *new[kind]}):
+            before, after = old[kind].get(name), new[kind].get(name)
+            if before is None:
+                lines.append(f"+ {word} {name}")
+            elif after is None:
+                lines.append(f"- {word} {name}")
+            else:
+                for key in sorted({*before, *after}):
+                    if before.get(key) != after.get(key):
+                        lines.append(f"~ {word} {name}: {key} {before.get(key)!r} -> {after.get(key)!r}")
+    return lines
+
+
+def plan(source: Path, applied: Path, out: Path) -> list[str]:
+    """Save the difference between the file and what is applied; its lines are returned."""
+    target = read_file(source)
+    serial, document = read_applied(applied)
+    changes = difference(document, target)
+    made = {"format": FORMAT, "base": serial, "base_digest": _digest(document), "target": target,
+            "target_digest": _digest(target), "changes": changes}  # fmt: skip
+    _write(out, made)
+    return changes
+
+
+def apply(saved: Path, applied: Path) -> list[str]:
+    """Carry out a saved plan, once. A plan already carried out changes nothing; a stale one is refused."""
+    try:
+        made = json.loads(saved.read_text("utf-8"))
+        target, base = made["target"], (made["base"], made["base_digest"])
+        if made["format"] != FORMAT or made["target_digest"] != _digest(target):
+            raise ContractError(f"{saved}: not written by plan, or changed since")
+    except OSError as error:
+        raise ContractError(f"{saved} can't be read: {error.strerror}") from None
+    except ContractError:
+        raise
+    except (ValueError, KeyError, TypeError):
+        raise ContractError(f"{saved} holds no plan") from None
+    try:
+        lock = open(applied.with_name(applied.name + ".lock"), "w")
+    except OSError as error:
+        raise ContractError(f"{applied} can't be locked: {error.strerror}") from None
+    with lock:
+        # Two at once must not both find their plans fresh.
+        fcntl.flock(lock, fcntl.LOCK_EX)
+        serial, document = read_applied(applied)
+        if _digest(document) == _digest(target):
+            return []
+        if (serial, _digest(document)) != base:
+            made_from = f"made from state {base[0]}, which is now {serial}"
+            raise ContractError(f"{saved} is stale: {made_from}; plan again")
+        new = {"format": FORMAT, "serial": serial + 1, "digest": _digest(target), "document": target}
+        _write(applied, new)
+    return difference(document, target)
+
+
+def _write(path: Path, contents: Document) -> None:
+    """Whole or not at all: a reader never sees half a file, also after a crash."""
+    beside = path.with_name(f"{path.name}.{os.getpid()}.new")
+    try:
+        with open(beside, "w", encoding="utf-8") as file:
+            json.dump(contents, file, indent=1, sort_keys=True)
+            file.write("\n")
+            file.flush()
+            os.fsync(file.fileno())
+        os.replace(beside, path)
+    except OSError as error:
+        raise ContractError(f"{path} can't be written: {error.strerror}") from None
--- a/hallproxy/run/main.py
+++ b/hallproxy/run/main.py
@@ -2,24 +2,31 @@
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import gc
 import os
 import signal
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine, Sequence
+from functools import partial
+from pathlib import Path
+from typing import Any
 
 from tornado.netutil import add_accept_handler, bind_sockets
 
 from hallproxy.interface import SettingsError
 from hallproxy.logic import Router
+from hallproxy.run import contracts, repository_config, repository_main
 from hallproxy.run.changelog import Poller
 from hallproxy.run.clients import Clients
 from hallproxy.run.config import Config, ConfigError, load
+from hallproxy.run.contracts import ContractError
 from hallproxy.run.loop import Loop, say
 from hallproxy.run.stores import HttpStores
 from hallproxy.state.model import State
 from hallproxy.wire.changelog import ChangeError
+from hallproxy.wire.stores import Platform
 
 RESERVE = 48  # descriptors for the listener, the change log, the log and what is just being closed
 OTHER_MB = 64  # of the memory limit that own copies leave to all else; a quarter of the rest is slack
@@ -42,7 +49,7 @@
 
 async def serve(config: Config, stopped: asyncio.Event) -> None:
     loop = Loop(new_state(config))
-    loop.stores = HttpStores(loop)
+    loop.stores = HttpStores(loop, Platform(config.settings))
     since, told = config.first_events(loop.now())
     for event in told:
         loop.bring(event)
@@ -88,19 +95,56 @@
     say("stopped: all is answered")
 
 
-async def _main(config: Config) -> None:
+async def _until_stopped(serving: Callable[[asyncio.Event], Coroutine[Any, Any, None]]) -> None:
     stopped = asyncio.Event()
     running = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         running.add_signal_handler(number, stopped.set)
-    await serve(config, stopped)
+    await serving(stopped)
 
 
-def main() -> int:
-    """One gateway in the foreground; a configuration it can't use ends it with one plain line."""
+def _arguments() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(prog="hallproxy", description="With no command: one gateway.")
+    commands = parser.add_subparsers(dest="command")
+    serving = commands.add_parser("repository", help="serve package repositories, as a deploy file says")
+    serving.add_argument("file", type=Path, nargs="?", default=Path("deploy/repository.toml"))
+    planning = commands.add_parser("plan", help="print and save what a contracts file would change")
+    planning.add_argument("file", type=Path)
+    planning.add_argument("--out", type=Path, help="where the plan is saved (FILE.plan)")
+    applying = commands.add_parser("apply", help="carry out a saved plan")
+    applying.add_argument("plan", type=Path)
+    for command in (planning, applying):
+        command.add_argument("--state", type=Path, default=Path("contracts.json"), help="what is applied")
+    return parser
+
+
+def _plan(args: argparse.Namespace) -> None:
+    out = args.out or args.file.with_name(args.file.name + ".plan")
+    changes = contracts.plan(args.file, args.state, out)
+    print("\n".join(changes) or "nothing to change")
+    print(f"saved as {out}")
+
+
+def _apply(args: argparse.Namespace) -> None:
+    changes = contracts.apply(args.plan, args.state)
+    print("\n".join(changes) or "nothing to change")
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Do as the command says; what can't be used ends it with one plain line and a status of 1."""
+    args = _arguments().parse_args(argv)
     try:
-        asyncio.run(_main(load(os.environ)))
-    except (ConfigError, SettingsError, ChangeError) as error:
+        match args.command:
+            case "plan":
+                _plan(args)
+            case "apply":
+                _apply(args)
+            case "repository":
+                settled = repository_config.load(args.file)
+                asyncio.run(_until_stopped(partial(repository_main.serve, settled)))
+            case _:
+                asyncio.run(_until_stopped(partial(serve, load(os.environ))))
+    except (ConfigError, ContractError, SettingsError, ChangeError) as error:
         print(f"hallproxy: {error}", file=sys.stderr)
         return 1
     except OSError as error:
--- /dev/null
+++ b/hallproxy/run/repository_config.py
@@ -0,0 +1,71 @@
+"""The second front's deploy file. Its settings are decoded by the adapter's decoder, like the platform's."""
+
+from __future__ import annotations
+
+import json
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+
+from hallproxy import interface as i
+from hallproxy.run.config import Address, ConfigError, address
+from hallproxy.wire.bench import settings_from_json
+
+INDEX, PACKAGE = "index", "package"  # the classes that its settings must name
+KEYS = ("listen", "changelog", "contracts", "file_most_mb", "copies_mb", "upstream", "settings")
+
+
+@dataclass(slots=True, frozen=True)
+class RepositoryConfig:
+    listen: Address
+    changelog: Address | None
+    contracts: Path | None  # the applied state; None: no contracts are kept
+    file_most: int  # bytes
+    copies_most: int  # bytes
+    upstreams: tuple[tuple[str, str], ...]  # id, address
+    settings: i.Settings
+
+
+def load(path: Path) -> RepositoryConfig:
+    try:
+        top = tomllib.loads(path.read_text("utf-8"))
+    except OSError as error:
+        raise ConfigError(f"{path} can't be read: {error.strerror}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise ConfigError(f"{path} is not TOML: {error}") from None
+    try:
+        for key in top:
+            if key not in KEYS:
+                raise ConfigError(f"unknown key {key!r}")
+        settings = settings_from_json(json.dumps(top["settings"]).encode())
+        for name in (INDEX, PACKAGE):
+            if name not in {c.name for c in settings.classes}:
+                raise ConfigError(f"settings name no class {name}")
+        upstreams = tuple((str(u["id"]), str(u["address"])) for u in top["upstream"])
+        for _, where in upstreams:
+            address(where)
+        if not upstreams or len({ident for ident, _ in upstreams}) < len(upstreams):
+            raise ConfigError("upstream needs at least one, each with an id of its own")
+        contracts = top.get("contracts", "")
+        return RepositoryConfig(
+            listen=address(top["listen"]),
+            changelog=address(top["changelog"]) if top.get("changelog") else None,
+            contracts=path.parent / str(contracts) if contracts else None,
+            file_most=_megabytes(top, "file_most_mb", 16),
+            copies_most=_megabytes(top, "copies_mb", 64),
+            upstreams=upstreams,
+            settings=settings,
+        )
+    except KeyError as error:
+        raise ConfigError(f"{path}: {error} is missing") from None
+    except (ConfigError, i.SettingsError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+    except (TypeError, ValueError, AttributeError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+
+
+def _megabytes(top: dict[str, object], key: str, default: int) -> int:
+    value = top.get(key, default)
+    if type(value) is not int or not 0 <= value <= 1024:
+        raise ConfigError(f"{key} is {value!r}")
+    return value * 1024 * 1024
--- /dev/null
+++ b/hallproxy/run/repository_main.py
@@ -0,0 +1,108 @@
+"""The second front's start and stop."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import socket
+from pathlib import Path
+
+from tornado.netutil import add_accept_handler, bind_sockets
+
+from hallproxy import interface as i
+from hallproxy.logic import Router
+from hallproxy.run.changelog import Poller
+from hallproxy.run.contracts import Applied, ContractError, in_force, read_applied
+from hallproxy.run.loop import Loop, say
+from hallproxy.run.repository import Repository
+from hallproxy.run.repository_config import RepositoryConfig
+from hallproxy.run.stores import HttpStores
+from hallproxy.state.events import ContractsTold, MembersTold
+from hallproxy.state.model import State
+from hallproxy.wire.simple import Upstream
+
+CONNECTIONS = 256
+LOOK_EVERY = 0.1  # s between looks at the applied contracts
+STOP_IN = 10.0  # s after SIGTERM by which what is open is cut
+
+
+def new_state(config: RepositoryConfig) -> State:
+    state = State(config.settings, Router(config.settings, secrets.randbits(64)))
+    state.purge_strict = True
+    state.links_most = CONNECTIONS
+    # Bodies are taken in whole, so what is open at once bounds the memory they take.
+    state.calls_most = CONNECTIONS
+    state.copies.most = config.copies_most
+    if config.settings.idle_close:
+        state.idle_most = config.settings.idle_close
+    return state
+
+
+def _members(config: RepositoryConfig, now: int) -> MembersTold:
+    members = tuple(
+        i.Member(ident.encode(), i.State.READY, 0, config.settings.zone) for ident, _ in config.upstreams
+    )
+    change = i.MembersChanged(i.ListKind.FULL, members)
+    return MembersTold(now, change, tuple(where for _, where in config.upstreams))
+
+
+async def serve(config: RepositoryConfig, stopped: asyncio.Event) -> None:
+    loop = Loop(new_state(config))
+    loop.stores = HttpStores(loop, Upstream(config.file_most, (where for _, where in config.upstreams)))
+    loop.bring(_members(config, loop.now()))
+    front = Repository(loop, CONNECTIONS)
+    contracts = Watch(config.contracts, loop, front) if config.contracts is not None else None
+    if contracts is not None:
+        contracts.look(first=True)
+    tasks = [asyncio.ensure_future(contracts.run())] if contracts is not None else []
+    if config.changelog is not None:
+        tasks.append(asyncio.ensure_future(Poller(loop, config.changelog, 0).run()))
+    host, port = config.listen
+    listeners = bind_sockets(port, host, family=socket.AF_INET, backlog=256)
+    stops = [add_accept_handler(sock, front.accept) for sock in listeners]
+    say(f"repository listens on {host}:{listeners[0].getsockname()[1]}")
+    await stopped.wait()
+    for stop in stops:
+        stop()
+    for sock in listeners:
+        sock.close()
+    until = asyncio.get_running_loop().time() + STOP_IN
+    while loop.state.callers and asyncio.get_running_loop().time() < until:
+        await asyncio.sleep(0.02)
+    await front.close()
+    for task in tasks:
+        task.cancel()
+
+
+class Watch:
+    """Brings applied contracts into force, at the start and whenever ``apply`` has written them anew."""
+
+    def __init__(self, path: Path, loop: Loop, front: Repository) -> None:
+        self._path, self._loop, self._front = path, loop, front
+        self._seen: tuple[int, int, int] | None = None
+
+    def look(self, first: bool = False) -> None:
+        try:
+            stat = self._path.stat()
+            seen = stat.st_mtime_ns, stat.st_size, stat.st_ino
+        except OSError:
+            seen = None
+        if seen == self._seen and not first:
+            return
+        self._seen = seen
+        try:
+            serial, document = read_applied(self._path)
+            applied: Applied = in_force(document)
+        except (ContractError, KeyError, TypeError, AttributeError) as error:
+            if first:
+                raise
+            say(f"contracts stay as they were: {error}")
+            return
+        self._front.applied = applied
+        self._loop.bring(ContractsTold(self._loop.now(), applied.contracts))
+        say(f"contracts: state {serial}, {len(applied.contracts.held)} in force")
+
+    async def run(self) -> None:
+        while True:
+            await asyncio.sleep(LOOK_EVERY)
+            self.look()
--- a/hallproxy/run/stores.py
+++ b/hallproxy/run/stores.py
@@ -4,23 +4,35 @@
 
 import asyncio
 import socket
+from typing import Protocol
 
 from tornado.iostream import StreamClosedError
 
 from hallproxy.run.config import ConfigError, address
 from hallproxy.run.loop import Loop, say
 from hallproxy.run.sockets import Buffer, Stream, stream
-from hallproxy.state.effects import Send
-from hallproxy.state.events import Answered, LinkDown, LinkUp
+from hallproxy.state.effects import Order, Send
+from hallproxy.state.events import Answered, LinkDown, LinkUp, Result
 from hallproxy.wire.http1 import Head, HttpError, chunk_size, response_head
-from hallproxy.wire.stores import KNOWN, MOST, order_head, read_answer
+
+
+class Speech(Protocol):
+    """What is said over HTTP/1.1 to the stores of one front, and how their answers are meant."""
+
+    most: int  # bytes of a body
+
+    def head(self, order: Order, host: str) -> bytes: ...
+
+    def read(self, order: Order, head: Head, body: bytes, sent_at: int) -> Result: ...
 
 
 class HttpStores:
     """Carries the reducer's orders over HTTP/1.1."""
 
-    def __init__(self, loop: Loop) -> None:
+    def __init__(self, loop: Loop, speech: Speech) -> None:
         self._loop = loop
+        self._speech = speech
+        self._orders: dict[int, tuple[Order, int]] = {}  # by link: the last one sent, and when
         self._streams: dict[int, Stream] = {}
         self._hosts: dict[int, str] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -38,7 +50,8 @@
         if made is None:
             return  # it has just broken: its LinkDown is on the way
         order = effect.order
-        head = order_head(order, self._hosts[link], self._loop.state.settings)
+        self._orders[link] = order, self._loop.now()
+        head = self._speech.head(order, self._hosts[link])
         try:
             made.gather([head, order.body] if order.body else [head])
         except StreamClosedError:
@@ -47,6 +60,7 @@
     def close(self, link: int) -> None:
         made = self._streams.pop(link, None)
         self._hosts.pop(link, None)
+        self._orders.pop(link, None)
         if made is not None:
             made.close()
 
@@ -56,12 +70,13 @@
             self._loop.bring(LinkUp(self._loop.now(), link))
             buffer = Buffer()
             while link in self._streams:
-                head, body = await read_message(made, buffer)
+                head, body = await read_message(made, buffer, self._speech.most)
                 if link not in self._streams:
                     return
-                if head.status not in KNOWN:
-                    say(f"store {host}: answer {head.status} to what was sent: {body[:200]!r}")
-                result = read_answer(head, body, self._loop.state.settings)
+                sent = self._orders.pop(link, None)
+                if sent is None:
+                    raise HttpError("an answer that nobody asked for")
+                result = self._speech.read(sent[0], head, body, sent[1])
                 # Bytes behind the answer belong to no request: such a connection is not used again.
                 reusable = head.keeps and not buffer.filled and not made.closed()
                 self._loop.bring(Answered(self._loop.now(), link, result, reusable))
@@ -76,7 +91,7 @@
                 self.close(link)
 
 
-async def read_message(made: Stream, buffer: Buffer, most: int = MOST) -> tuple[Head, bytes]:
+async def read_message(made: Stream, buffer: Buffer, most: int) -> tuple[Head, bytes]:
     """One response, whole. A body cut short raises; it is never taken for a whole one."""
     while (head := response_head(buffer.data, buffer.filled)) is None:
         await buffer.fill(made, 2048)
--- a/hallproxy/state/calls.py
+++ b/hallproxy/state/calls.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from hallproxy import interface as i
+from hallproxy.state.contracts import Contracts
 from hallproxy.state.copies import Copy
 from hallproxy.state.effects import Reply
-from hallproxy.state.events import Answer, Arrived, Asked, Result, Verdict
+from hallproxy.state.events import Answer, Arrived, Asked, Reason, Result, Verdict
 from hallproxy.state.model import Call, State
 
 SECOND = 1_000_000_000  # ns
@@ -17,12 +20,19 @@
 
 def arrived(state: State, event: Arrived) -> None:
     asked = event.asked
+    if state.contracts is not None:
+        refusal, asked = _contract(state, state.contracts, asked)
+        if refusal is not None:
+            state.effects.append(Reply(event.caller, refusal))
+            return
     if len(state.callers) >= state.calls_most:
         # Guards memory: what is open is bounded, and over that a plain no costs least.
-        state.effects.append(Reply(event.caller, Answer(Verdict.REFUSED, retry_after=BUSY_RETRY)))
+        busy = Answer(Verdict.REFUSED, retry_after=BUSY_RETRY, reason=Reason.BUSY)
+        state.effects.append(Reply(event.caller, busy))
         return
     own = own_copy(state, asked, OWN_BY, asked.left)
     if own is not None:
+        _spend(state, asked, own)
         state.effects.append(Reply(event.caller, own))
         state.told.append(i.Seen(asked.object))
         return
@@ -43,6 +53,25 @@
     )
 
 
+def _contract(state: State, contracts: Contracts, asked: Asked) -> tuple[Answer | None, Asked]:
+    """Whether the team may use the service now; the request comes back with the contract's deadline."""
+    contract = contracts.find(asked.team, asked.service, state.settings.classes[asked.cls].name)
+    if contract is None:
+        return Answer(Verdict.REFUSED, reason=Reason.NO_CONTRACT), asked
+    wait = state.use.ask(contract, state.now)
+    if wait:
+        return Answer(Verdict.REFUSED, retry_after=wait, reason=Reason.BUDGET), asked
+    return None, replace(asked, left=min(asked.left, contract.deadline or asked.left))
+
+
+def _spend(state: State, asked: Asked, answer: Answer) -> None:
+    """Bytes count when they are given out: before that nobody knows how many there will be."""
+    if state.contracts is not None:
+        contract = state.contracts.find(asked.team, asked.service, state.settings.classes[asked.cls].name)
+        if contract is not None:
+            state.use.spend(contract, state.now, len(answer.body))
+
+
 def own_copy(state: State, asked: Asked, by: float, left: int) -> Answer | None:
     """An answer from memory, if a copy is young enough and the link would have it there in time."""
     cls = state.settings.classes[asked.cls]
@@ -63,7 +92,7 @@
         return None  # the link is crowded: a store sends it sooner
     state.uplink.take(state.now, size)
     state.own_served += 1
-    return Answer(Verdict.SERVED, b"" if unchanged else copy.body, unchanged, tag=copy.tag)
+    return Answer(Verdict.SERVED, b"" if unchanged else copy.body, unchanged, tag=copy.tag, born=copy.born)
 
 
 def keep(state: State, call: Call, get: i.Get, result: Result) -> None:
@@ -92,6 +121,7 @@
         return
     call.answered = True
     del state.callers[call.caller]
+    _spend(state, call.asked, answer)
     state.effects.append(Reply(call.caller, answer))
     forget(state, call)
 
@@ -108,6 +138,11 @@
     """The module has given the request up. A copy held here still serves it, else it hears so at once."""
     call = state.calls.get(ident)
     if call is not None and not call.answered:
+        # An attempt still out when the module gives up has run out of time; else the last one says why.
+        reason = Reason.TIMEOUT if call.attempts else call.reason
+        if reason is Reason.NONE:
+            reason = Reason.BUSY
+        answer = replace(answer, reason=reason)
         left = call.came + call.asked.left - state.now
         reply(state, call, own_copy(state, call.asked, 1.0, left) or answer)
 
--- a/hallproxy/state/effects.py
+++ b/hallproxy/state/effects.py
@@ -43,6 +43,7 @@
     held_only: bool = False
     no_parent_copy: bool = False
     renew: bool = False
+    digest: str = ""
 
 
 @dataclass(slots=True, frozen=True)
--- a/hallproxy/state/events.py
+++ b/hallproxy/state/events.py
@@ -6,6 +6,7 @@
 from enum import Enum
 
 from hallproxy import interface as i
+from hallproxy.state.contracts import Contracts
 
 
 class Verdict(Enum):
@@ -16,6 +17,21 @@
     FAILED = "failed"
 
 
+class Reason(Enum):
+    """Why an answer is no good one, for fronts that can say it."""
+
+    NONE = ""
+    NO_CONTRACT = "no contract"
+    BUDGET = "over budget"
+    BUSY = "busy"
+    TIMEOUT = "timeout"
+    UNREACHED = "unreached"
+    BROKEN = "broken"
+    ERROR = "error"
+    ABSENT = "absent"
+    REPLACED = "replaced"
+
+
 @dataclass(slots=True, frozen=True)
 class Answer:
     verdict: Verdict
@@ -23,7 +39,8 @@
     unchanged: bool = False  # the copy that the client holds is the one
     retry_after: int = 0
     tag: str = ""
-    reason: str = ""
+    born: int = 0  # ns; when the origin gave out what is served
+    reason: Reason = Reason.NONE
 
 
 @dataclass(slots=True, frozen=True)
@@ -44,6 +61,8 @@
     held: str = ""
     body: bytes = b""
     team: str = ""
+    service: str = ""
+    digest: str = ""  # what the bytes must hash to; empty: any will do
 
 
 @dataclass(slots=True, frozen=True)
@@ -87,6 +106,7 @@
     tag: str = ""
     born: int = 0  # ns; 0 where it is not told
     load: tuple[float, ...] = ()
+    reason: Reason = Reason.NONE
 
 
 @dataclass(slots=True, frozen=True)
@@ -140,6 +160,24 @@
     link: int
 
 
+@dataclass(slots=True, frozen=True)
+class ContractsTold:
+    """From now on these contracts hold; None: none are kept here."""
+
+    at: int
+    contracts: Contracts | None
+
+
 Event = (
-    Arrived | CallerLeft | LinkUp | LinkDown | Answered | MembersTold | PurgeTold | Due | AttemptDue | LinkDue
+    Arrived
+    | CallerLeft
+    | LinkUp
+    | LinkDown
+    | Answered
+    | MembersTold
+    | PurgeTold
+    | Due
+    | AttemptDue
+    | LinkDue
+    | ContractsTold
 )
--- a/hallproxy/state/links.py
+++ b/hallproxy/state/links.py
@@ -5,10 +5,21 @@
 from hallproxy import interface as i
 from hallproxy.state import calls
 from hallproxy.state.effects import Close, Open, Order, Send, Wake
-from hallproxy.state.events import Answer, Answered, AttemptDue, LinkDue, Result, Verdict
+from hallproxy.state.events import Answer, Answered, AttemptDue, LinkDue, Reason, Result, Verdict
 from hallproxy.state.model import Attempt, Link, State
 
 MS = 1_000_000  # ns
+REASONS = {
+    i.Status.OK: Reason.NONE,
+    i.Status.ERROR: Reason.ERROR,
+    i.Status.FULL: Reason.BUSY,
+    i.Status.TIMEOUT: Reason.TIMEOUT,
+    i.Status.CONNECT_FAILED: Reason.UNREACHED,
+    i.Status.RESET: Reason.BROKEN,
+    i.Status.CANCELLED: Reason.TIMEOUT,
+    i.Status.MOOT: Reason.BUSY,
+    i.Status.MISS: Reason.ABSENT,
+}
 
 
 def attempt(state: State, get: i.Get) -> None:
@@ -80,6 +91,7 @@
         held_only=bool(how & i.How.HELD_ONLY),
         no_parent_copy=bool(how & i.How.NO_PARENT_COPY),
         renew=bool(how & i.How.RENEW),
+        digest=asked.digest,
     )
     state.effects.append(Send(link.ident, order))
 
@@ -90,8 +102,15 @@
         return
     one = link.attempt
     _free(state, link, event.reusable)
-    if one is not None:
-        _over(state, one, event.result.status, event.result)
+    if one is None:
+        return
+    result = event.result
+    if result.status is i.Status.OK and state.purge_strict:
+        asked = state.calls[one.request].asked
+        if result.born <= state.purges.last(asked.object, asked.group):
+            # Older than a purge heard meanwhile, or held by a cache on the way: asked for again.
+            result = Result(i.Status.MISS, reason=Reason.BUSY)
+    _over(state, one, result.status, result)
 
 
 def down(state: State, ident: int) -> None:
@@ -178,9 +197,15 @@
     call = state.calls[one.request]
     del call.attempts[one.number]
     if status is i.Status.OK and result is not None:
-        answer = Answer(Verdict.SERVED, result.body, result.unchanged, tag=result.tag)
+        answer = Answer(Verdict.SERVED, result.body, result.unchanged, tag=result.tag, born=result.born)
         calls.reply(state, call, answer)
         calls.keep(state, call, one.get, result)
+    else:
+        said = result.reason if result is not None else Reason.NONE
+        call.reason = REASONS[status] if said is Reason.NONE else said
+        if call.asked.digest and call.reason in (Reason.ABSENT, Reason.REPLACED):
+            # What named these bytes is out of date: served again from here, it would name them again.
+            state.copies.purge(call.asked.object, 0, state.now)
     state.told.append(
         i.Outcome(
             call.ident,
--- a/hallproxy/state/model.py
+++ b/hallproxy/state/model.py
@@ -7,9 +7,10 @@
 
 from hallproxy import interface as i
 from hallproxy.logic import Router
+from hallproxy.state.contracts import Contracts, Use
 from hallproxy.state.copies import Copies, Uplink
 from hallproxy.state.effects import Effect, Order
-from hallproxy.state.events import Asked
+from hallproxy.state.events import Asked, Reason
 from hallproxy.state.members import Members
 from hallproxy.state.purges import Purges
 
@@ -39,6 +40,7 @@
     sent: int = 0  # attempts so far
     attempts: dict[int, Attempt] = field(default_factory=dict)  # those out, by the module's number
     answered: bool = False
+    reason: Reason = Reason.NONE  # how its last attempt went wrong
 
 
 @dataclass(slots=True, eq=False)
@@ -62,6 +64,9 @@
     copies: Copies = field(default_factory=Copies)
     uplink: Uplink = field(default_factory=Uplink)
     own_served: int = 0
+    purge_strict: bool = False  # also what was sent before a purge was heard may not be older at its answer
+    contracts: Contracts | None = None  # None: none are kept here
+    use: Use = field(default_factory=Use)
     members: Members = field(default_factory=Members)
     purges: Purges = field(default_factory=Purges)
     calls: dict[int, Call] = field(default_factory=dict)
--- a/hallproxy/state/reducer.py
+++ b/hallproxy/state/reducer.py
@@ -15,6 +15,7 @@
     Arrived,
     AttemptDue,
     CallerLeft,
+    ContractsTold,
     Due,
     Event,
     LinkDown,
@@ -50,6 +51,8 @@
             _members(state, event)
         case PurgeTold():
             _purge(state, event)
+        case ContractsTold():
+            state.contracts = event.contracts
     _consult(state)
     effects, state.effects = state.effects, []
     return effects
--- a/hallproxy/wire/stores.py
+++ b/hallproxy/wire/stores.py
@@ -8,7 +8,6 @@
 from hallproxy.wire.http1 import Head
 
 MS = 1_000_000
-KNOWN = (200, 304, 404, 500, 503, 504)  # the answers that the protocol names
 MOST = 300_000  # bytes of an object's part; over that the answer is not taken in
 
 
@@ -70,6 +69,21 @@
     return Result(status, load=load)
 
 
+class Platform:
+    """The platform's wire to its stores, for the effect runner."""
+
+    most = MOST
+
+    def __init__(self, settings: i.Settings) -> None:
+        self._settings = settings
+
+    def head(self, order: Order, host: str) -> bytes:
+        return order_head(order, host, self._settings)
+
+    def read(self, _order: Order, head: Head, body: bytes, _sent_at: int) -> Result:
+        return read_answer(head, body, self._settings)
+
+
 def read_load(text: str, names: tuple[str, ...]) -> tuple[float, ...]:
     """``inflight:7;util:0.61`` in the order of the settings' names; what is missing or unknown is skipped."""
     told: dict[str, float] = {}
