Test both fronts on real sockets; a purge's millisecond counts as a whole

Seen: an index made just before a purge was served after it, once in a suite run. Checked: the stand-in's answer was sent in the same millisecond as the purge; with the purge floored to it, the copy looked younger. Faulty line: PurgeTold in wire/changelog.py took the told millisecond's start.

--- a/hallproxy/wire/changelog.py
+++ b/hallproxy/wire/changelog.py
@@ -65,5 +65,6 @@
         return MembersTold(now, change, tuple(address for _, address in members))
     if gone is not None:
         obj = int(gone["object"], 16) if gone.get("object") else 0
-        return PurgeTold(now, obj, int(gone.get("bucket", 0)), int(gone["time"]) * MS)
+        # Told in whole milliseconds: what was made in the same one may be from before the purge.
+        return PurgeTold(now, obj, int(gone.get("bucket", 0)), int(gone["time"]) * MS + MS - 1)
     return None
--- /dev/null
+++ b/tests/test_contracts.py
@@ -0,0 +1,104 @@
+"""Contracts files, plans and what ``apply`` does with them."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from hallproxy.state.contracts import Contract, Contracts, Use
+from tests.gateway import ROOT
+
+TOKEN = "a" * 64
+FILE = f"""
+[teams.stations]
+token_sha256 = "{TOKEN}"
+[services.firmware]
+projects = ["charger-*"]
+[[contracts]]
+team = "stations"
+service = "firmware"
+requests = 10
+"""
+
+
+def command(*words: object) -> tuple[int, str, str]:
+    ran = subprocess.run(
+        [sys.executable, "-m", "hallproxy", *map(str, words)], cwd=ROOT, capture_output=True, text=True
+    )
+    assert "Traceback" not in ran.stderr
+    return ran.returncode, ran.stdout, ran.stderr
+
+
+def test_plan_apply_again_and_stale(tmp_path: Path) -> None:
+    file, state = tmp_path / "contracts.toml", tmp_path / "state.json"
+    first, second = tmp_path / "first.plan", tmp_path / "second.plan"
+    file.write_text(FILE)
+    code, said, _ = command("plan", file, "--state", state, "--out", first)
+    assert code == 0 and not state.exists()
+    assert said.splitlines()[:3] == [
+        "+ team stations", "+ service firmware", "+ contract stations/firmware/"
+    ]  # fmt: skip
+    file.write_text(FILE.replace("requests = 10", "requests = 20"))
+    assert command("plan", file, "--state", state, "--out", second)[0] == 0
+    assert command("apply", first, "--state", state)[0] == 0
+    applied = state.read_text()
+    code, said, _ = command("apply", first, "--state", state)
+    assert (code, said, state.read_text()) == (0, "nothing to change\n", applied)
+    code, _, said = command("apply", second, "--state", state)
+    assert code == 1 and "stale" in said and said.count("\n") == 1 and state.read_text() == applied
+    code, said, _ = command("plan", file, "--state", state, "--out", second)
+    assert "~ contract stations/firmware/: requests 10 -> 20" in said
+    assert command("apply", second, "--state", state)[0] == 0 and json.loads(state.read_text())["serial"] == 2
+    assert command("plan", file, "--state", state)[1].startswith("nothing to change")
+
+
+@pytest.mark.parametrize(
+    ("changed", "says"),
+    [
+        (("[teams", "[team"), "unknown key 'team'"),
+        ((TOKEN, "abc"), "token_sha256"),
+        (('service = "firmware"', 'service = "none"'), "'none' is not among the services"),
+        (("requests = 10", "requests = -1"), "requests"),
+        (("requests = 10", 'requests = "ten"'), "requests"),
+        (("requests = 10", "window_s = 0"), "window_s"),
+        (("requests = 10", "budget = 1"), "unknown key 'budget'"),
+        (('["charger-*"]', '"charger-*"'), "patterns"),
+        (("[[contracts]]", "[contracts]"), "list of tables"),
+        (("[teams", "[[teams"), "not TOML"),
+    ],
+)
+def test_a_bad_file_is_one_plain_line(tmp_path: Path, changed: tuple[str, str], says: str) -> None:
+    file = tmp_path / "contracts.toml"
+    file.write_text(FILE.replace(*changed))
+    code, _, said = command("plan", file, "--state", tmp_path / "state.json")
+    assert code == 1 and says in said and said.count("\n") == 1
+    assert not list(tmp_path.glob("*.plan"))
+
+
+NO_PLAN = '{"format":1,"base":0,"base_digest":"","target":{},"target_digest":""}'
+
+
+@pytest.mark.parametrize("text", ["", "{}", NO_PLAN])
+def test_what_is_no_plan_is_refused(tmp_path: Path, text: str) -> None:
+    (tmp_path / "x.plan").write_text(text)
+    code, _, said = command("apply", tmp_path / "x.plan", "--state", tmp_path / "state.json")
+    assert code == 1 and said.count("\n") == 1 and not (tmp_path / "state.json").exists()
+
+
+def test_budgets_run_in_windows() -> None:
+    contract = Contract("t", "s", requests=2, bytes=100, window=1000)
+    use = Use()
+    assert [use.ask(contract, now) for now in (10, 20, 30, 1009, 1010)] == [0, 0, 980, 1, 0]
+    use.spend(contract, 1011, 100)
+    assert use.ask(contract, 1012) == 998
+
+
+def test_the_contract_of_the_class_comes_before_the_general_one() -> None:
+    general, special = Contract("t", "s"), Contract("t", "s", "index")
+    contracts = Contracts((special, general))
+    assert contracts.find("t", "s", "index") is special and contracts.find("t", "s", "package") is general
+    assert contracts.find("t", "other", "index") is None and contracts.find("u", "s", "index") is None
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,362 @@
+"""The program on real sockets: one short test for each rule of the platform's front."""
+
+from __future__ import annotations
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from hallproxy.wire import frames
+from tests.gateway import ROOT, Client, Http, Platform, Program, member, now_ms, ok, response, says, until
+
+SERVED, REFUSED, FAILED = frames.SERVED, frames.REFUSED, frames.FAILED
+HALF = response(200, b"x" * 1000, ETag="t", X_Born_Ms="1")[:-500]
+
+
+@pytest.fixture
+def start(tmp_path: Path) -> Iterator[Callable[..., Platform]]:
+    started: list[Platform] = []
+
+    def make(**more: Any) -> Platform:
+        fields = {k: more.pop(k) for k in ("limits", "caches", "changed") if k in more}
+        started.append(Platform(tmp_path, **fields).start(**more))
+        return started[-1]
+
+    yield make
+    for platform in started:
+        if platform.program.process.poll() is None:
+            platform.program.process.kill()
+        platform.program.wait()
+
+
+def sent_of(platform: Platform, row: int) -> int:
+    return sum(f"{row:016x}" in s.path for s in platform.seen)
+
+
+def test_a_request_is_passed_on_and_answered_whole(start: Callable[..., Platform]) -> None:
+    platform = start()
+    client = platform.client()
+    client.send(frames.IS_READY, 0, b"\0")
+    assert client.read() == (frames.READINESS, 0, bytes((SERVED, 0)))
+    client.ask(op="close", row=5, nth=2, body=b"paid", dedupe="k1", got="t0")
+    assert client.answer() == (SERVED, {}, b"bytes")
+    seen = platform.seen[0]
+    assert seen.path == f"/v2/q/close/{5:016x}/2" and seen.body == b"paid"
+    assert seen.fields["x-hop-id"] == f"{1:016x}" and seen.fields["x-replay-key"] == "k1"
+    assert seen.fields["if-none-match"] == "t0" and 0 < int(seen.fields["x-budget"]) <= 2000
+    assert seen.fields["x-fill-from"] == "p-0"
+
+
+def test_unchanged_copies_cost_no_bytes(start: Callable[..., Platform]) -> None:
+    platform = start()
+    platform.all_reply(says(304, ETag="t1", X_Born_Ms="1"))
+    client = platform.client()
+    client.ask(got="t1")
+    assert client.answer() == (SERVED, {"ok304": "1"}, b"")
+
+
+def test_answers_may_come_in_any_order(start: Callable[..., Platform]) -> None:
+    platform = start()
+    gate = threading.Event()
+    slow = f"{1:016x}"
+    platform.all_reply(lambda s: ok()(s) if slow not in s.path or gate.wait(5) else None)
+    client = platform.client()
+    first, second = client.ask(row=1), client.ask(row=2)
+    frame = client.read()
+    assert frame is not None and frame[1] == second
+    gate.set()
+    frame = client.read()
+    assert frame is not None and frame[1] == first
+
+
+@pytest.mark.parametrize(
+    ("bad", "op", "tries"),
+    [
+        (says(404), "small", 2),
+        (says(404), "once", 2),
+        (says(503, X_No_Effect="1"), "once", 2),
+        (says(504, X_No_Effect="1"), "once", 2),
+        (says(500), "small", 2),
+        (says(500), "once", 1),
+        (says(500), "close", 2),
+        (lambda _: b"", "small", 2),
+        (lambda _: b"", "once", 1),
+        (lambda _: HALF, "small", 2),
+        (lambda _: HALF, "once", 1),
+        (lambda _: b"garbage\r\n\r\n", "once", 1),
+    ],
+)
+def test_retries_go_as_far_as_the_class_allows(
+    start: Callable[..., Platform], bad: Callable[[Any], bytes], op: str, tries: int
+) -> None:
+    """Guards against an effect twice, and against a half answer taken for a whole one."""
+    platform = start()
+    count = iter(range(100))
+    platform.all_reply(lambda s: bad(s) if next(count) == 0 else ok(b"second")(s))
+    client = platform.client()
+    client.ask(op=op, dedupe="key-1")
+    code, _, body = client.answer()
+    assert (code, body) == ((SERVED, b"second") if tries == 2 else (FAILED, b""))
+    assert len(platform.seen) == tries
+    assert {s.fields.get("x-replay-key") for s in platform.seen} == {"key-1"}
+
+
+def test_a_refused_connect_proves_that_nothing_ran(start: Callable[..., Platform]) -> None:
+    platform = start()
+    platform.caches[0].listener.close()
+    client = platform.client()
+    for row in range(1, 9):
+        client.ask(op="once", row=row)
+        assert client.answer()[0] == SERVED
+
+
+@pytest.mark.parametrize("op", ["small", "once"])
+def test_a_silent_store_costs_one_final_answer_in_time(start: Callable[..., Platform], op: str) -> None:
+    platform = start()
+    platform.all_reply(lambda _: None)
+    client = platform.client()
+    began = time.monotonic()
+    stream = client.ask(op=op, ttl="400")
+    frame = client.read()
+    assert frame is not None and frame[1] == stream and frame[2][0] in (REFUSED, FAILED)
+    assert time.monotonic() - began < 0.458
+    client.ask(row=2, ttl="300")
+    frame = client.read()
+    assert frame is not None and frame[1] == stream + 1  # and no second one for the first
+
+
+def test_a_store_that_dies_and_returns_under_its_id_is_used_again(start: Callable[..., Platform]) -> None:
+    """Idle connections to the former process lead nowhere: they belong to an id and a start."""
+    platform = start(caches=[Http(ok(b"old"))])
+    client = platform.client()
+    client.ask()
+    assert client.answer()[2] == b"old"
+    platform.caches[0].listener.close()
+    fresh = Http(ok(b"new"))
+    line = member("s-0", fresh.address, "std", startedAtMs=now_ms() - 60_000)
+    platform.tell(fleet={"generation": 2, "reset": False, "instances": [line]})
+    client.ask(row=2)
+    assert client.answer()[2] == b"new"
+
+
+def test_an_address_used_again_is_another_store(start: Callable[..., Platform]) -> None:
+    platform = start(caches=[Http(ok())])
+    client = platform.client()
+    client.ask()
+    client.answer()
+    where = platform.caches[0].address
+    lines = [member("s-0", where, "std", "Gone"), member("s-9", where, "std")]
+    platform.tell(fleet={"generation": 2, "reset": False, "instances": lines})
+    client.ask(row=2)
+    client.answer()
+    assert len(platform.caches[0].listener.connections) == 2
+
+
+def test_a_drained_store_gets_nothing_new(start: Callable[..., Platform]) -> None:
+    platform = start()
+    platform.drain(0)
+    client = platform.client()
+    for row in range(1, 21):
+        client.ask(row=row)
+        assert client.answer()[0] == SERVED
+    assert not platform.caches[0].seen and len(platform.caches[1].seen) == 20
+
+
+def test_no_copy_from_before_a_purge_is_asked_for_or_served(start: Callable[..., Platform]) -> None:
+    platform = start()
+    client = platform.client()
+    born = now_ms()
+    platform.all_reply(ok(b"old", born=born))
+    for _ in range(3):  # asked for more than once: ranked for keeping
+        client.ask(row=7)
+        assert client.answer()[2] == b"old"
+    purged = now_ms()
+    platform.tell(invalidate={"object": f"{7:016x}", "time": purged})
+    platform.all_reply(ok(b"new"))
+    before = sent_of(platform, 7)
+    client.ask(row=7)
+    assert client.answer()[2] == b"new"
+    assert sent_of(platform, 7) == before + 1
+    last = platform.seen[-1]
+    assert last.at_ms - int(last.fields["x-max-age-ms"]) >= purged
+    assert "j" not in last.fields.get("x-flags", "")
+
+
+@pytest.mark.parametrize("event", [{"object": f"{7:016x}"}, {"bucket": 1}])
+def test_a_fill_in_flight_across_a_purge_is_not_kept(
+    start: Callable[..., Platform], event: dict[str, Any]
+) -> None:
+    platform = start()
+    client = platform.client()
+    gate = threading.Event()
+    born = now_ms() - 5
+    client.ask(row=7)
+    client.answer()
+    platform.tell(invalidate={"object": f"{7:016x}", "time": now_ms() - 10_000})  # lets no first copy serve
+    platform.all_reply(lambda s: ok(b"old", born=born)(s) if gate.wait(5) else None)
+    before = sent_of(platform, 7)
+    client.ask(row=7)
+    until(lambda: sent_of(platform, 7) > before)
+    platform.tell(invalidate={**event, "time": now_ms()})
+    gate.set()
+    client.answer()
+    platform.all_reply(ok(b"new"))
+    client.ask(row=7)
+    assert client.answer()[2] == b"new"
+
+
+def test_own_copies_serve_until_they_are_too_old(start: Callable[..., Platform]) -> None:
+    platform = start()
+    client = platform.client()
+    for _ in range(3):
+        client.ask(op="small", row=3)
+        assert client.answer()[2] == b"bytes"
+    kept = sent_of(platform, 3)
+    client.ask(op="small", row=3)
+    assert client.answer()[2] == b"bytes" and sent_of(platform, 3) == kept
+    client.ask(op="small", row=3, got="t1")
+    assert client.answer() == (SERVED, {"ok304": "1"}, b"")
+    platform.all_reply(ok(b"aged", born=now_ms() - 1_990))  # fresh for 2 s: not when looked for
+    for _ in range(3):
+        client.ask(op="small", row=4)
+        client.answer()
+    assert sent_of(platform, 4) == 3
+
+
+def test_what_a_client_gave_up_is_given_up_at_the_store(start: Callable[..., Platform]) -> None:
+    platform = start(caches=[Http(lambda _: None)])
+    client = platform.client()
+    stream = client.ask()
+    until(lambda: platform.seen)
+    client.send(frames.LEFT, stream)
+    store = platform.caches[0].listener.connections[0]
+    until(lambda: store.fileno() == -1)  # the stand-in closes once the gateway has
+    platform.all_reply(ok())
+    stream = client.ask(row=2)
+    frame = client.read()
+    assert frame is not None and frame[1] == stream
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"\0\0\0\x01\x41",
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"\0\0\0\x05\x09\0\0\0\x01",
+        b"\0\0\0\x05\x41\0\0\0\0",
+        b"\xff\xff\xff\xff",
+    ],
+)
+def test_what_is_no_frame_gets_an_error_and_a_close(start: Callable[..., Platform], raw: bytes) -> None:
+    platform = start()
+    client = platform.client()
+    client.sock.sendall(raw)
+    frame = client.read()
+    assert frame is not None and frame[:2] == (frames.ANSWER, 0) and frame[2][0] == FAILED
+    assert client.read() is None
+    client = platform.client()
+    client.ask()
+    assert client.answer()[0] == SERVED
+
+
+def test_a_request_that_makes_no_sense_gets_a_plain_answer(start: Callable[..., Platform]) -> None:
+    platform = start()
+    client = platform.client()
+    stream = client.ask(op="none")
+    frame = client.read()
+    assert frame is not None and frame[1] == stream and frame[2][0] == FAILED
+    client.ask(body=b"x" * 50_000)
+    assert "body" in client.answer()[1]["error"]
+    client.ask()
+    assert client.answer()[0] == SERVED and len(platform.seen) == 1
+
+
+def test_over_its_bounds_it_refuses_at_once(start: Callable[..., Platform]) -> None:
+    platform = start()
+    platform.all_reply(lambda _: None)
+    clients = [platform.client() for _ in range(6)]
+    for n, client in enumerate(clients):
+        for row in range(32):
+            client.ask(row=100 * n + row + 1, ttl="5000")
+    code, fields, _ = clients[-1].answer()
+    assert code == REFUSED and 0 < int(fields["pushback"]) <= 1000
+    descriptors = len(list(Path(f"/proc/{platform.program.process.pid}/fd").iterdir()))
+    assert descriptors < 256
+
+
+def test_sigterm_serves_what_still_comes_says_so_and_ends(start: Callable[..., Platform]) -> None:
+    platform = start()
+    gate = threading.Event()
+    platform.all_reply(lambda s: ok()(s) if gate.wait(5) else None)
+    client = platform.client()
+    first = client.ask()
+    until(lambda: platform.seen)
+    platform.program.process.send_signal(signal.SIGTERM)
+    until(lambda: any("stopping" in x for x in platform.program.lines))
+    late = platform.client()  # the front has not noticed yet
+    late.ask(row=2)
+    frame = client.read()
+    assert frame is not None and frame[:2] == (frames.NO_MORE, 0)
+    gate.set()
+    frame = client.read()
+    assert frame is not None and frame[1] == first and frame[2][0] == SERVED
+    said = [frame := late.read(), late.read()]
+    assert {f[0] for f in said if f} == {frames.NO_MORE, frames.ANSWER}
+    assert platform.program.wait() == 0
+
+
+def test_sigkill_and_a_clean_start(start: Callable[..., Platform]) -> None:
+    platform = start()
+    platform.tell(invalidate={"object": f"{9:016x}", "time": now_ms()})
+    platform.program.process.kill()
+    platform.program.wait()
+    platform.config["known"] = platform.log.page()
+    path = platform.path / "config.json"
+    path.write_text(json.dumps(platform.config))
+    platform.program = Program(EDGE_CONFIG=str(path))
+    client = platform.client()
+    client.ask(row=9)
+    assert client.answer()[0] == SERVED
+    assert "x-max-age-ms" in platform.seen[-1].fields  # the purge is known from the start on
+    until(lambda: platform.log.polled[-1] == 2)
+
+
+@pytest.mark.parametrize(
+    ("text", "says_"),
+    [
+        (None, "can't be read"),
+        ("{", "not JSON"),
+        ("[]", "no object"),
+        ('{"listen": "x"}', "no address"),
+        ('{"listen": "127.0.0.1:0", "seed": "1"}', "settings"),
+        ('{"listen": "127.0.0.1:0", "settings": {"bounds": {}}}', "missing"),
+    ],
+)
+def test_a_bad_configuration_is_one_plain_line(tmp_path: Path, text: str | None, says_: str) -> None:
+    path = tmp_path / "c.json"
+    if text is not None:
+        path.write_text(text)
+    ran = subprocess.run(
+        [sys.executable, "-m", "hallproxy"], env={"EDGE_CONFIG": str(path)}, cwd=ROOT, capture_output=True
+    )
+    said = ran.stderr.decode()
+    assert ran.returncode == 1 and said.count("\n") == 1 and says_ in said and "Traceback" not in said
+
+
+def test_a_client_that_reads_nothing_holds_no_memory(start: Callable[..., Platform]) -> None:
+    platform = start()
+    platform.all_reply(lambda s: response(200, b"x" * 240_000, ETag="t", X_Born_Ms="1"))
+    client = Client(platform.program.port)
+    client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    for row in range(1, 33):
+        client.ask(row=row, ttl="5000")
+    until(lambda: any("does not read" in x for x in platform.program.lines))
--- /dev/null
+++ b/tests/test_repository.py
@@ -0,0 +1,422 @@
+"""The second front against a stand-in repository on loopback; every answer is checked against the purges."""
+
+from __future__ import annotations
+
+import base64
+import hashlib
+import http.client
+import json
+import re
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from hallproxy.run import contracts
+from hallproxy.wire import simple
+from tests.gateway import ROOT, ChangeLog, Http, Program, Seen, now_ms, response, until
+
+DEPLOY = (ROOT / "deploy" / "repository.toml").read_text()
+PROJECT = "charger-fw"
+
+
+def sha(data: bytes) -> str:
+    return hashlib.sha256(data).hexdigest()
+
+
+class Stand:
+    """A repository whose files and index can be swapped at any moment."""
+
+    def __init__(self) -> None:
+        self.files: dict[str, bytes] = {"a-1.whl": b"a" * 3000, "b-1.whl": b"b" * 5000}
+        self.indexed: dict[str, bytes] | None = None  # where the index says other than the files
+        self.hook: Callable[[Seen], bytes | None] | None = None
+        self.made: dict[str, int] = {}  # digest of a body -> ms at which it was last current
+        self.http = Http(self._reply)
+        self.html = False
+
+    def _reply(self, seen: Seen) -> bytes | None:
+        if self.hook is not None and (said := self.hook(seen)) != b"pass":
+            return said
+        name = seen.path.rsplit("/", 1)[1]
+        if seen.path == f"/simple/{PROJECT}/":
+            return self._index()
+        if seen.path == "/simple/":
+            body = json.dumps({"meta": {"api-version": "1.0"}, "projects": [{"name": PROJECT}]}).encode()
+            return response(200, body, Content_Type=simple.JSON)
+        if seen.path.startswith("/pool/") and name in self.files:
+            return response(200, self.files[name])
+        return response(404)
+
+    def _index(self) -> bytes:
+        named = self.files if self.indexed is None else self.indexed
+        if self.html:
+            lines = [f'<a href="/pool/{n}#sha256={sha(b)}">{n}</a>' for n, b in named.items()]
+            return response(200, "".join(lines).encode(), Content_Type="text/html")
+        files = [{"filename": n, "url": f"/pool/{n}", "hashes": {"sha256": sha(b)}} for n, b in named.items()]
+        top = {"meta": {"api-version": "1.0"}, "name": PROJECT, "files": files}
+        return response(200, json.dumps(top).encode(), Content_Type=simple.JSON)
+
+
+@dataclass
+class Got:
+    status: int
+    fields: dict[str, str]
+    body: bytes
+
+
+@dataclass
+class Front:
+    path: Path
+    stands: list[Stand] = field(default_factory=lambda: [Stand()])
+
+    def start(self, text: str = DEPLOY, contracts: bool = False) -> Front:
+        self.log = ChangeLog()
+        self.seq = 0
+        text = text.replace('listen = "127.0.0.1:8081"', 'listen = "127.0.0.1:0"')
+        text = re.sub(r"# changelog = \S+", f'changelog = "{self.log.address}"', text)
+        if contracts:
+            text = re.sub(r"# contracts = \S+", 'contracts = "contracts.json"', text)
+        ups = "".join(
+            f'[[upstream]]\nid = "r-{n}"\naddress = "{s.http.address}"\n' for n, s in enumerate(self.stands)
+        )
+        text = re.sub(r"\[\[upstream\]\]\nid.*\naddress.*\n", ups, text)
+        (self.path / "repository.toml").write_text(text)
+        self.program = Program("repository", str(self.path / "repository.toml"))
+        return self
+
+    def get(self, path: str, method: str = "GET", **fields: str) -> Got:
+        made = http.client.HTTPConnection("127.0.0.1", self.program.port, timeout=10)
+        try:
+            made.request(method, path, headers={k.replace("_", "-"): v for k, v in fields.items()})
+            said = made.getresponse()
+            return Got(said.status, {k.lower(): v for k, v in said.getheaders()}, said.read())
+        finally:
+            made.close()
+
+    def urls(self, **fields: str) -> dict[str, str]:
+        got = self.get(f"/simple/{PROJECT}/", Accept=simple.JSON, **fields)
+        assert got.status == 200, got
+        return {f["filename"]: f["url"] for f in json.loads(got.body)["files"]}
+
+    def purge(self, at: int | None = None) -> int:
+        at = at or now_ms()
+        obj = f"{simple.object_id(PROJECT):016x}"
+        seq = self.log.add(invalidate={"object": obj, "time": at})
+        until(lambda: self.log.heard(seq))
+        return at
+
+
+@pytest.fixture
+def front(tmp_path: Path) -> Iterator[Front]:
+    made = Front(tmp_path)
+    yield made
+    if hasattr(made, "program"):
+        assert made.program.stop() == 0
+
+
+@pytest.mark.parametrize("html", [False, True])
+def test_index_and_files_in_both_forms(front: Front, html: bool) -> None:
+    stand = front.stands[0]
+    stand.html = html
+    front.start()
+    for name, url in front.urls().items():
+        got = front.get(url)
+        assert got.status == 200 and got.body == stand.files[name] and sha(got.body) in url
+    page = front.get(f"/simple/{PROJECT}/").body.decode()
+    assert re.findall(r'href="([^"#]+)#sha256=', page) == list(front.urls().values())
+    assert front.get("/simple/").body.count(PROJECT.encode()) == 2
+    moved = front.get("/simple/Charger_FW")
+    assert (moved.status, moved.fields["location"]) == (301, f"/simple/{PROJECT}/")
+
+
+def test_conditions_heads_and_what_is_not_served(front: Front) -> None:
+    front.start()
+    url = front.urls()["a-1.whl"]
+    for path in (f"/simple/{PROJECT}/", url):
+        got = front.get(path)
+        assert got.fields["cache-control"] == "no-cache"
+        head = front.get(path, "HEAD")
+        assert (head.status, head.body, head.fields["content-length"]) == (200, b"", str(len(got.body)))
+        same = front.get(path, If_None_Match=f'W/{got.fields["etag"]}, "x"')
+        assert (same.status, same.body, same.fields["etag"]) == (304, b"", got.fields["etag"])
+        assert front.get(path, If_None_Match='"other"').status == 200
+    assert front.get(f"/simple/{PROJECT}/", Accept="image/png").status == 406
+    assert front.get(f"/simple/{PROJECT}/", "POST").status == 405
+    assert front.get("/simple/unknown/").status == 404
+    assert front.get("/elsewhere").status == 404
+    assert front.get("/simple/", Bad_Header="x", Content_Length="5").status == 400
+
+
+def test_pip_takes_a_file_through_it(front: Front, tmp_path: Path) -> None:
+    """A client that is not ours: what it asks for and how is its own choice."""
+    import io
+    import zipfile
+
+    name, data = "charger_fw-1.0-py3-none-any.whl", io.BytesIO()
+    with zipfile.ZipFile(data, "w") as wheel:
+        meta = "charger_fw-1.0.dist-info/"
+        wheel.writestr(meta + "METADATA", "Metadata-Version: 2.1\nName: charger-fw\nVersion: 1.0\n")
+        wheel.writestr(meta + "WHEEL", "Wheel-Version: 1.0\nRoot-Is-Purelib: true\nTag: py3-none-any\n")
+        wheel.writestr(meta + "RECORD", "")
+    front.stands[0].files = {name: data.getvalue()}
+    front.start()
+    ran = subprocess.run(
+        [sys.executable, "-m", "pip", "--isolated", "download", "--no-deps", "--no-cache-dir",
+         "-d", str(tmp_path),
+         "--index-url", f"http://127.0.0.1:{front.program.port}/simple/", "charger-fw"],
+        capture_output=True, text=True,
+    )  # fmt: skip
+    assert ran.returncode == 0, ran.stderr
+    assert (tmp_path / name).read_bytes() == data.getvalue()
+
+
+def test_an_index_swapped_halfway_never_gives_mixed_bytes(front: Front) -> None:
+    stand = front.stands[0]
+    front.start()
+    urls = front.urls()
+    assert front.get(urls["a-1.whl"]).body == b"a" * 3000
+    stand.files = {"a-1.whl": b"A" * 3000, "b-1.whl": b"B" * 5000}
+    got = front.get(urls["b-1.whl"])
+    assert got.status == 410 and "read the index again" in got.body.decode()
+    assert got.fields["link"] == f'</simple/{PROJECT}/>; rel="index"'
+    again = front.urls()
+    assert again["b-1.whl"] != urls["b-1.whl"]
+    assert front.get(again["b-1.whl"]).body == b"B" * 5000
+    assert front.get(urls["a-1.whl"]).status == 410
+
+
+def test_an_index_kept_here_does_not_go_on_naming_what_is_gone(front: Front) -> None:
+    """A client sent back to the index must not be given the same old one."""
+    stand = front.stands[0]
+    front.start()
+    for _ in range(4):  # asked for often enough to be kept
+        urls = front.urls()
+    stand.files["b-1.whl"] = b"B" * 5000
+    assert front.get(urls["b-1.whl"]).status == 410
+    assert front.get(front.urls()["b-1.whl"]).body == b"B" * 5000
+
+
+def test_a_purge_between_index_and_file(front: Front) -> None:
+    stand = front.stands[0]
+    front.start()
+    for _ in range(4):
+        urls = front.urls()
+        front.get(urls["a-1.whl"])
+    stand.files["a-1.whl"] = b"A" * 3000
+    purged = front.purge()
+    asked = len(stand.http.seen)
+    got = front.get(urls["a-1.whl"])
+    assert got.status == 410
+    assert any(s.at_ms >= purged for s in stand.http.seen[asked:])
+    assert front.get(front.urls()["a-1.whl"]).body == b"A" * 3000
+
+
+def test_what_was_under_way_at_a_purge_is_asked_for_again(front: Front) -> None:
+    stand = front.stands[0]
+    front.start()
+    gate, came = threading.Event(), threading.Event()
+
+    def hold(seen: Seen) -> bytes | None:
+        said = stand._index()  # made before the purge
+        if not came.is_set():
+            came.set()
+            gate.wait(5)
+        else:
+            said = stand._index()
+        return said
+
+    stand.hook = hold
+    got: list[Got] = []
+    asking = threading.Thread(target=lambda: got.append(front.get(f"/simple/{PROJECT}/", Accept=simple.JSON)))
+    asking.start()
+    assert came.wait(5)
+    stand.files["a-1.whl"] = b"A" * 3000
+    front.purge()
+    gate.set()
+    asking.join()
+    assert got[0].status == 200 and sha(b"A" * 3000) in got[0].body.decode()
+
+
+def test_a_cache_upstream_can_not_pass_off_an_old_copy(front: Front) -> None:
+    stand = front.stands[0]
+    front.start()
+    front.purge()
+    stand.hook = lambda _: stand._index().replace(b"\r\n", b"\r\nAge: 30\r\n", 1)
+    assert front.get(f"/simple/{PROJECT}/").status in (502, 503, 504)
+    assert "max-age" in stand.http.seen[-1].fields["cache-control"]
+
+
+def test_every_answer_is_younger_than_the_purges_heard(front: Front) -> None:
+    """Clients read on while the files are swapped and purged over and over."""
+    stand = front.stands[0]
+    front.start()
+    heard: list[tuple[float, int]] = []  # when the gateway had heard; the version current from then on
+    answers: list[tuple[float, int]] = []  # when asked for; the version got
+    faults: list[str] = []
+    done = threading.Event()
+
+    def version(number: int) -> dict[str, bytes]:
+        return {f"{name}-1.whl": b"%d " % number * 800 for name in "ab"}
+
+    def read() -> None:
+        while not done.is_set():
+            urls = front.urls()
+            for url in urls.values():
+                asked = time.monotonic()
+                got = front.get(url)
+                if got.status == 200:
+                    numbers = set(got.body.split())
+                    if len(numbers) != 1 or sha(got.body) not in url:
+                        faults.append(f"mixed bytes {numbers}")
+                    answers.append((asked, int(numbers.pop())))
+                elif got.status != 410:
+                    faults.append(f"status {got.status} {got.body!r}")
+
+    stand.files = version(0)
+    readers = [threading.Thread(target=read) for _ in range(3)]
+    for reader in readers:
+        reader.start()
+    for number in range(1, 9):
+        before = len(answers)
+        stand.files = version(number)
+        time.sleep(0.002)  # a purge carries milliseconds: it must be later than what it purges
+        front.purge()
+        heard.append((time.monotonic(), number))
+        until(lambda before=before: len(answers) > before + 3)  # type: ignore[misc]
+    done.set()
+    for reader in readers:
+        reader.join()
+    assert not faults
+    checked = 0
+    for asked, got in answers:
+        due = max((number for at, number in heard if asked > at + 0.3), default=0)
+        now = max((number for at, number in heard if asked > at), default=0)
+        assert got >= due and got >= now
+        checked += 1
+    assert checked > 24 and {got for _, got in answers} >= {8}
+
+
+def test_upstream_dying_mid_file_is_tried_again_or_plainly_said(front: Front) -> None:
+    stand = front.stands[0]
+    front.start()
+    url = front.urls()["a-1.whl"]
+    half = response(200, b"a" * 3000)[:-1000]
+    count = iter(range(100))
+    stand.hook = lambda s: half if s.path.startswith("/pool/") and next(count) == 0 else b"pass"
+    assert front.get(url).body == b"a" * 3000
+    front.purge()
+    stand.hook = lambda s: half if s.path.startswith("/pool/") else b"pass"
+    got = front.get(url)
+    assert got.status == 502 and "broke off" in got.body.decode()
+
+
+@pytest.mark.parametrize(
+    ("reply", "status"),
+    [
+        (lambda _: b"", 502),
+        (lambda _: response(500), 502),
+        (lambda _: response(200, b"junk", Content_Type=simple.JSON), 502),
+        (lambda _: response(503), 503),
+        (lambda _: response(429), 503),
+        (lambda _: response(404), 404),
+        (lambda _: None, 504),
+    ],
+)
+def test_errors_are_mapped_and_come_in_time(
+    front: Front, reply: Callable[[Seen], Any], status: int
+) -> None:
+    front.stands[0].hook = reply
+    front.start(DEPLOY.replace("deadline_ns = 5_000_000_000", "deadline_ns = 600_000_000"))
+    began = time.monotonic()
+    got = front.get(f"/simple/{PROJECT}/")
+    assert got.status == status and time.monotonic() - began < 0.7
+    assert ("retry-after" in got.fields) == (status in (502, 503, 504))
+
+
+def test_a_repository_that_is_gone(front: Front) -> None:
+    front.stands[0].http.listener.close()
+    front.start()
+    got = front.get(f"/simple/{PROJECT}/")
+    assert got.status == 502 and "retry-after" in got.fields
+
+
+def test_a_second_repository_takes_over(front: Front) -> None:
+    front.stands.append(Stand())
+    front.stands[0].hook = lambda _: b""
+    front.start()
+    for _ in range(6):
+        assert front.get(front.urls()["b-1.whl"]).body == b"b" * 5000
+
+
+def test_contracts_are_enforced_and_can_change_under_way(front: Front, tmp_path: Path) -> None:
+    file, state, plan = tmp_path / "c.toml", tmp_path / "contracts.json", tmp_path / "p"
+
+    def bring(requests: int) -> None:
+        file.write_text(f"""
+[teams.stations]
+token_sha256 = "{sha(b"secret")}"
+[teams.screens]
+token_sha256 = "{sha(b"other")}"
+[services.firmware]
+projects = ["charger-*"]
+[[contracts]]
+team = "stations"
+service = "firmware"
+requests = {requests}
+bytes = 100000
+deadline_ms = 400
+window_s = 3600
+""")
+        contracts.plan(file, state, plan)
+        assert contracts.apply(plan, state)
+
+    def auth(team: str, token: str) -> str:
+        return "Basic " + base64.b64encode(f"{team}:{token}".encode()).decode()
+
+    front.start(contracts=True)
+    path = f"/simple/{PROJECT}/"
+    assert front.get(path).status == 401  # nothing is applied yet
+    bring(4)
+    until(lambda: front.get(path, Authorization=auth("stations", "secret")).status == 200)
+    assert front.get(path, Authorization=auth("stations", "wrong")).status == 401
+    assert front.get(path, Authorization=auth("screens", "other")).status == 403
+    assert front.get("/simple/", Authorization=auth("stations", "secret")).status == 403
+    front.stands[0].hook = lambda _: None
+    front.purge()
+    began = time.monotonic()
+    assert front.get(path, Authorization=auth("stations", "secret")).status == 504
+    assert time.monotonic() - began < 0.6  # the contract's deadline, not the class's
+    front.stands[0].hook = None
+    got = [front.get(path, Authorization=auth("stations", "secret")) for _ in range(4)]
+    assert [g.status for g in got] == [200, 200, 429, 429]
+    assert 3000 < int(got[-1].fields["retry-after"]) <= 3600
+    bring(0)  # no budget of requests
+    until(lambda: front.get(path, Authorization=auth("stations", "secret")).status == 200)
+
+
+@pytest.mark.parametrize(
+    ("changed", "says"),
+    [
+        (('listen = "127.0.0.1:8081"', 'listen = "here"'), "no address"),
+        (('listen = "127.0.0.1:8081"', "listen = "), "not TOML"),
+        (('name = "package"', 'name = "other"'), "no class package"),
+        (("file_most_mb", "file_most"), "unknown key"),
+        (("file_most_mb = 16", "file_most_mb = -1"), "file_most_mb"),
+        (('address = "127.0.0.1:8082"', 'address = "x"'), "no address"),
+        (("tick_ns = 2_000_000", ""), "missing"),
+    ],
+)
+def test_a_bad_deploy_file_is_one_plain_line(tmp_path: Path, changed: tuple[str, str], says: str) -> None:
+    path = tmp_path / "r.toml"
+    path.write_text(DEPLOY.replace(*changed))
+    ran = subprocess.run(
+        [sys.executable, "-m", "hallproxy", "repository", str(path)], cwd=ROOT, capture_output=True, text=True
+    )
+    assert ran.returncode == 1 and says in ran.stderr and ran.stderr.count("\n") == 1, ran.stderr
