--- a/hallproxy/run/changelog.py
+++ b/hallproxy/run/changelog.py
@@ -5,14 +5,12 @@
 import asyncio
 import socket
 
-from tornado.iostream import StreamClosedError
-
 from hallproxy.run.config import Address
 from hallproxy.run.loop import Loop, say
 from hallproxy.run.sockets import Buffer, Stream, stream
-from hallproxy.run.stores import read_message
+from hallproxy.run.stores import read_body, read_head
 from hallproxy.wire.changelog import WAIT_MOST, ChangeError, poll_head, read_events, read_page
-from hallproxy.wire.http1 import HttpError
+from hallproxy.wire.http1 import Head
 
 WAIT = 2_000  # ms a poll is held; short, so that a log that has gone silent is noticed
 ANSWER_IN = 1.0  # s more after which a poll has failed
@@ -20,6 +18,11 @@
 PAGE_MOST = 16 * 1024 * 1024
 
 
+async def _page(made: Stream, buffer: Buffer) -> tuple[Head, bytes]:
+    head = await read_head(made, buffer)
+    return head, await read_body(made, buffer, head, PAGE_MOST)
+
+
 class Poller:
     def __init__(self, loop: Loop, where: Address, since: int) -> None:
         self._loop, self._where, self._since = loop, where, since
@@ -34,7 +37,7 @@
                 buffer = Buffer()
                 while await self._poll(made, buffer):
                     pass
-            except (StreamClosedError, OSError, TimeoutError, HttpError, ChangeError) as error:
+            except Exception as error:  # whatever it is: a gateway that hears no news breaks rules
                 say(f"change log: {type(error).__name__} {error}")
             finally:
                 made.close()
@@ -43,7 +46,7 @@
     async def _poll(self, made: Stream, buffer: Buffer) -> bool:
         made.gather([poll_head(self._since, min(WAIT, WAIT_MOST), f"{self._where[0]}:{self._where[1]}")])
         limit = WAIT / 1000 + ANSWER_IN
-        head, body = await asyncio.wait_for(read_message(made, buffer, PAGE_MOST), limit)
+        head, body = await asyncio.wait_for(_page(made, buffer), limit)
         if head.status != 200:
             raise ChangeError(f"answer {head.status}")
         try:
--- a/hallproxy/run/clients.py
+++ b/hallproxy/run/clients.py
@@ -15,6 +15,8 @@
 OPEN_MOST = 32  # requests open on one connection
 UNSENT_MOST = 2 * 1024 * 1024  # bytes waiting for a client that does not read; over that it is closed
 
+ALL_UNSENT_MOST = 24 * 1024 * 1024
+
 
 class Connection:
     """One client's connection, from the accept to the close."""
@@ -86,12 +88,16 @@
     def _write(self, pieces: list[bytes]) -> None:
         try:
             self._made.gather(pieces)
-            if self._made._write_buffer is not None and len(self._made._write_buffer) > UNSENT_MOST:
+            if self._made.unsent > UNSENT_MOST or (self._made.unsent and self._front.over()):
                 say("a client does not read its answers: closed")
                 self._made.close()
         except StreamClosedError:
             pass  # the reader ends the connection
 
+    @property
+    def unsent(self) -> int:
+        return self._made.unsent
+
     def no_more(self) -> None:
         """Ask the client to send nothing new here."""
         if not self._told_no_more:
@@ -109,6 +115,10 @@
         self._most = most
         self._tasks: set[asyncio.Task[None]] = set()
 
+    def over(self) -> bool:
+        """Whether all clients together leave more unread than there is memory for."""
+        return sum(c.unsent for c in self.connections) > ALL_UNSENT_MOST
+
     def accept(self, sock: socket.socket, _: object) -> None:
         if len(self.connections) >= self._most:
             # Guards the descriptors: the front keeps to a third of them, so this is no client of ours.
--- a/hallproxy/run/loop.py
+++ b/hallproxy/run/loop.py
@@ -5,6 +5,7 @@
 import asyncio
 import sys
 import time
+import traceback
 from collections import deque
 from collections.abc import Callable
 from typing import Protocol
@@ -58,8 +59,14 @@
         self._running = True
         try:
             while self._events:
-                for effect in reduce(self.state, self._events.popleft()):
-                    self._do(effect)
+                event = self._events.popleft()
+                try:
+                    for effect in reduce(self.state, event):
+                        self._do(effect)
+                except Exception as error:  # one event that fails must not take the others with it
+                    where = traceback.extract_tb(error.__traceback__)[-1]
+                    what = f"{type(error).__name__}: {error} ({where.name}, line {where.lineno})"
+                    say(f"fault on {type(event).__name__}: {what}")
         finally:
             self._running = False
 
@@ -68,7 +75,9 @@
             case Send():
                 self.stores.send(effect.link, effect)
             case Reply():
-                self.repliers.pop(effect.caller)(effect.answer)
+                replier = self.repliers.pop(effect.caller, None)
+                if replier is not None:
+                    replier(effect.answer)
             case Wake():
                 delay = max(0, effect.event.at - time.time_ns()) / 1e9
                 asyncio.get_running_loop().call_later(delay, self._wake, effect.event)
--- a/hallproxy/run/main.py
+++ b/hallproxy/run/main.py
@@ -29,7 +29,8 @@
 from hallproxy.wire.stores import Platform
 
 RESERVE = 48  # descriptors for the listener, the change log, the log and what is just being closed
-OTHER_MB = 64  # of the memory limit that own copies leave to all else; a quarter of the rest is slack
+OTHER_MB = 96  # of the memory limit that own copies leave to all else; a quarter of the rest is slack
+BODIES_MB = 32  # bodies that are being read from stores
 ACCEPT_FOR = 0.8  # s after SIGTERM in which new connections and requests may still come
 NO_MORE_AFTER = 0.45  # s after SIGTERM at which clients are told, once the front has turned away
 QUIET_FOR = 0.3  # s without a new request or connection before the end
@@ -49,7 +50,7 @@
 
 async def serve(config: Config, stopped: asyncio.Event) -> None:
     loop = Loop(new_state(config))
-    loop.stores = HttpStores(loop, Platform(config.settings))
+    loop.stores = HttpStores(loop, Platform(config.settings), BODIES_MB * 1024 * 1024)
     since, told = config.first_events(loop.now())
     for event in told:
         loop.bring(event)
@@ -88,8 +89,9 @@
             told = True
             for connection in list(clients.connections):
                 connection.no_more()
+        unsent = any(connection.unsent for connection in clients.connections)
         quiet = clock() - max(clients.asked_at, began) >= QUIET_FOR
-        if told and clock() - began >= ACCEPT_FOR and quiet and not loop.state.callers:
+        if told and clock() - began >= ACCEPT_FOR and quiet and not loop.state.callers and not unsent:
             break
     say(f"own copies served {loop.state.own_served}, hold {loop.state.copies.held} bytes")
     say("stopped: all is answered")
--- a/hallproxy/run/repository.py
+++ b/hallproxy/run/repository.py
@@ -29,6 +29,7 @@
 SECOND = 1_000_000_000
 SLACK = SECOND // 20  # ns kept back of a deadline for writing the answer
 IDLE = 30.0  # s that a connection waits for its next request, and for the rest of a head
+UNSENT_MOST = 96 * 1024 * 1024  # bytes waiting for slow clients, all together
 WRITE = 60.0  # s for a client to take an answer
 PHRASES = {
     200: "OK", 301: "Moved Permanently", 304: "Not Modified", 400: "Bad Request", 401: "Unauthorized",
@@ -81,6 +82,7 @@
         self.applied = Applied()  # teams' tokens and services' projects; read anew with the contracts
         self._classes = {c.name: n for n, c in enumerate(loop.state.settings.classes)}
         self._most = most
+        self._unsent = 0  # bytes that clients have not taken yet
         self._tasks: set[asyncio.Task[None]] = set()
 
     def accept(self, sock: socket.socket, _: object) -> None:
@@ -250,8 +252,7 @@
         known = self.applied.tokens.get(team, "")
         return team if scheme.lower() == "basic" and known and hmac.compare_digest(said, known) else None
 
-    @staticmethod
-    async def _write(made: Stream, response: Response, head_only: bool, keeps: bool) -> None:
+    async def _write(self, made: Stream, response: Response, head_only: bool, keeps: bool) -> None:
         lines = [f"HTTP/1.1 {response.status} {PHRASES[response.status]}"]
         lines += [f"{name}: {value}" for name, value in response.fields.items()]
         lines.append(f"Date: {formatdate(usegmt=True)}")
@@ -261,13 +262,21 @@
             lines.append("Connection: close")
         head = "\r\n".join([*lines, "", ""]).encode()
         made.gather([head] if head_only or not response.body else [head, response.body])
+        self._unsent += made.unsent
+        if self._unsent > UNSENT_MOST:
+            say("repository clients read too slowly: one is closed")
+            self._unsent -= made.unsent
+            return made.close()
         if made.writing():
             # Backpressure: the next request is not read before this answer has left.
+            waiting = made.unsent
             try:
                 await asyncio.wait_for(made.write(b""), WRITE)
             except TimeoutError:
                 say("a repository client does not read its answer: closed")
                 raise
+            finally:
+                self._unsent -= waiting
 
 
 class _Reader:
--- a/hallproxy/run/repository_main.py
+++ b/hallproxy/run/repository_main.py
@@ -23,6 +23,7 @@
 
 CONNECTIONS = 256
 LOOK_EVERY = 0.1  # s between looks at the applied contracts
+BODIES = 64 * 1024 * 1024  # bytes of bodies being read from upstream
 STOP_IN = 10.0  # s after SIGTERM by which what is open is cut
 
 
@@ -48,7 +49,8 @@
 
 async def serve(config: RepositoryConfig, stopped: asyncio.Event) -> None:
     loop = Loop(new_state(config))
-    loop.stores = HttpStores(loop, Upstream(config.file_most, (where for _, where in config.upstreams)))
+    upstream = Upstream(config.file_most, (where for _, where in config.upstreams))
+    loop.stores = HttpStores(loop, upstream, BODIES)
     loop.bring(_members(config, loop.now()))
     front = Repository(loop, CONNECTIONS)
     contracts = Watch(config.contracts, loop, front) if config.contracts is not None else None
--- a/hallproxy/run/sockets.py
+++ b/hallproxy/run/sockets.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
+from collections import deque
 from collections.abc import Sequence
 
 from tornado.iostream import IOStream, StreamClosedError
@@ -13,6 +15,11 @@
 class Stream(IOStream):
     """An IOStream that takes several pieces in one write."""
 
+    @property
+    def unsent(self) -> int:
+        """Bytes that the other side has not taken yet."""
+        return len(self._write_buffer)
+
     def gather(self, pieces: Sequence[bytes]) -> None:
         """Write the pieces in their order: in one system call where the socket takes them.
 
@@ -40,11 +47,35 @@
 
 def stream(sock: socket.socket) -> Stream:
     """The read buffer of the stream's own is never filled: reads go into ours."""
-    made = Stream(sock, max_buffer_size=1024 * 1024, read_chunk_size=65_536)
+    # The stream's own limit would count what is read into our buffers too, which have bounds of their own.
+    made = Stream(sock, max_buffer_size=1 << 40, read_chunk_size=65_536)
     made.set_nodelay(True)
     return made
 
 
+class Budget:
+    """Bytes of bodies that may be held at once. Who finds no room waits, and so does its sender."""
+
+    def __init__(self, most: int) -> None:
+        self._most = most
+        self._held = 0
+        self._waiting: deque[asyncio.Future[None]] = deque()
+
+    async def take(self, size: int) -> None:
+        while self._held and self._held + size > self._most:
+            waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+            self._waiting.append(waiter)
+            await waiter
+        self._held += size
+
+    def give(self, size: int) -> None:
+        self._held -= size
+        while self._waiting:
+            waiter = self._waiting.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+
+
 class Buffer:
     """Bytes as they came; ``filled`` of them count, from the start."""
 
--- a/hallproxy/run/stores.py
+++ b/hallproxy/run/stores.py
@@ -10,11 +10,13 @@
 
 from hallproxy.run.config import ConfigError, address
 from hallproxy.run.loop import Loop, say
-from hallproxy.run.sockets import Buffer, Stream, stream
+from hallproxy.run.sockets import Budget, Buffer, Stream, stream
 from hallproxy.state.effects import Order, Send
 from hallproxy.state.events import Answered, LinkDown, LinkUp, Result
 from hallproxy.wire.http1 import Head, HttpError, chunk_size, response_head
 
+CHUNKED = 1024 * 1024  # bytes that a body of untold length is taken to hold
+
 
 class Speech(Protocol):
     """What is said over HTTP/1.1 to the stores of one front, and how their answers are meant."""
@@ -29,8 +31,9 @@
 class HttpStores:
     """Carries the reducer's orders over HTTP/1.1."""
 
-    def __init__(self, loop: Loop, speech: Speech) -> None:
+    def __init__(self, loop: Loop, speech: Speech, memory: int) -> None:
         self._loop = loop
+        self._budget = Budget(memory)
         self._speech = speech
         self._orders: dict[int, tuple[Order, int]] = {}  # by link: the last one sent, and when
         self._streams: dict[int, Stream] = {}
@@ -38,7 +41,11 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     def open(self, link: int, host: str) -> None:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:
+            say(f"store {host}: {error.strerror}")
+            return self._loop.bring(LinkDown(self._loop.now(), link))
         self._streams[link] = made = stream(sock)
         self._hosts[link] = host
         task = asyncio.get_running_loop().create_task(self._serve(link, made, host))
@@ -70,16 +77,8 @@
             self._loop.bring(LinkUp(self._loop.now(), link))
             buffer = Buffer()
             while link in self._streams:
-                head, body = await read_message(made, buffer, self._speech.most)
-                if link not in self._streams:
+                if not await self._one(link, made, buffer):
                     return
-                sent = self._orders.pop(link, None)
-                if sent is None:
-                    raise HttpError("an answer that nobody asked for")
-                result = self._speech.read(sent[0], head, body, sent[1])
-                # Bytes behind the answer belong to no request: such a connection is not used again.
-                reusable = head.keeps and not buffer.filled and not made.closed()
-                self._loop.bring(Answered(self._loop.now(), link, result, reusable))
         except (StreamClosedError, OSError, ConfigError):
             pass
         except HttpError as error:
@@ -91,11 +90,36 @@
                 self.close(link)
 
 
-async def read_message(made: Stream, buffer: Buffer, most: int) -> tuple[Head, bytes]:
-    """One response, whole. A body cut short raises; it is never taken for a whole one."""
+    async def _one(self, link: int, made: Stream, buffer: Buffer) -> bool:
+        """Bring one answer; false: nobody waits for it any more."""
+        head = await read_head(made, buffer)
+        size = min(CHUNKED if head.length is None else head.length, self._speech.most)
+        await self._budget.take(size)
+        try:
+            body = await read_body(made, buffer, head, self._speech.most)
+            if link not in self._streams:
+                return False
+            sent = self._orders.pop(link, None)
+            if sent is None:
+                raise HttpError("an answer that nobody asked for")
+            result = self._speech.read(sent[0], head, body, sent[1])
+            # Bytes behind the answer belong to no request: such a connection is not used again.
+            reusable = head.keeps and not buffer.filled and not made.closed()
+            self._loop.bring(Answered(self._loop.now(), link, result, reusable))
+            return True
+        finally:
+            self._budget.give(size)
+
+
+async def read_head(made: Stream, buffer: Buffer) -> Head:
     while (head := response_head(buffer.data, buffer.filled)) is None:
         await buffer.fill(made, 2048)
     buffer.drop(head.size)
+    return head
+
+
+async def read_body(made: Stream, buffer: Buffer, head: Head, most: int) -> bytes:
+    """A response's body, whole. One cut short raises; it is never taken for a whole one."""
     length = head.length
     if length is not None:
         if length > most:
@@ -106,7 +130,7 @@
         buffer.drop(have)
         if have < length:
             await made.read_into(memoryview(body)[have:])  # type: ignore[arg-type]
-        return head, bytes(body)
+        return bytes(body)
     if not head.chunked:
         raise HttpError("a body without a length")
     parts: list[bytes] = []
@@ -120,7 +144,7 @@
             raise HttpError("a chunk longer than it says")
     while await _line(made, buffer):
         pass  # trailers
-    return head, b"".join(parts)
+    return b"".join(parts)
 
 
 async def _line(made: Stream, buffer: Buffer) -> bytes:
--- a/hallproxy/state/calls.py
+++ b/hallproxy/state/calls.py
@@ -7,8 +7,8 @@
 from hallproxy import interface as i
 from hallproxy.state.contracts import Contracts
 from hallproxy.state.copies import Copy
-from hallproxy.state.effects import Reply
-from hallproxy.state.events import Answer, Arrived, Asked, Reason, Result, Verdict
+from hallproxy.state.effects import Reply, Wake
+from hallproxy.state.events import Answer, Arrived, Asked, CallDue, Reason, Result, Verdict
 from hallproxy.state.model import Call, State
 
 SECOND = 1_000_000_000  # ns
@@ -38,6 +38,7 @@
         return
     call = Call(state.number(), event.caller, asked, state.now)
     state.calls[call.ident] = state.callers[event.caller] = call
+    state.effects.append(Wake(CallDue(state.now + asked.left, call.ident)))
     state.told.append(
         i.Request(
             call.ident,
@@ -115,6 +116,14 @@
         forget(state, call)
 
 
+def due(state: State, ident: int) -> None:
+    """The last moment for an answer. The module is always earlier, unless it failed on this request."""
+    call = state.calls.get(ident)
+    if call is not None and not call.answered:
+        reply(state, call, Answer(Verdict.FAILED, reason=Reason.TIMEOUT))
+        state.told.append(i.ClientGone(ident))
+
+
 def reply(state: State, call: Call, answer: Answer) -> None:
     """The final answer. A second one is never given, whoever asks for it."""
     if call.answered:
--- a/hallproxy/state/events.py
+++ b/hallproxy/state/events.py
@@ -152,6 +152,14 @@
     attempt: int
 
 
+@dataclass(slots=True, frozen=True)
+class CallDue:
+    """A request's time is over, whatever the module has made of it."""
+
+    at: int
+    call: int
+
+
 @dataclass(slots=True, frozen=True)
 class LinkDue:
     """A connection has had its time to come up, or has idled for long enough."""
@@ -179,5 +187,6 @@
     | Due
     | AttemptDue
     | LinkDue
+    | CallDue
     | ContractsTold
 )
--- a/hallproxy/state/links.py
+++ b/hallproxy/state/links.py
@@ -49,7 +49,7 @@
 
 def up(state: State, ident: int) -> None:
     link = state.links.get(ident)
-    if link is not None:
+    if link is not None and not link.up:
         link.up = True
         if link.attempt is not None:
             _send(state, link, link.attempt)
@@ -101,7 +101,8 @@
     if link is None:
         return
     one = link.attempt
-    _free(state, link, event.reusable)
+    # An answer that nobody asked for: what comes next on that connection would be taken for another's.
+    _free(state, link, event.reusable and one is not None)
     if one is None:
         return
     result = event.result
--- a/hallproxy/state/reducer.py
+++ b/hallproxy/state/reducer.py
@@ -14,6 +14,7 @@
     Answered,
     Arrived,
     AttemptDue,
+    CallDue,
     CallerLeft,
     ContractsTold,
     Due,
@@ -43,6 +44,8 @@
             links.down(state, event.link)
         case AttemptDue():
             links.attempt_due(state, event.attempt)
+        case CallDue():
+            calls.due(state, event.call)
         case LinkDue():
             links.due(state, event.link)
         case Due():
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -171,6 +171,57 @@
     assert not platform.caches[0].seen and len(platform.caches[1].seen) == 20
 
 
+@pytest.mark.parametrize("news", ["drain", "purge"])
+def test_news_heard_while_connecting_holds_at_the_first_byte(
+    start: Callable[..., Platform], news: str
+) -> None:
+    """The store's queue of connections is full, so the attempt waits while the news comes."""
+    store = socket.create_server(("127.0.0.1", 0), backlog=0)
+    where = store.getsockname()
+    held = [socket.create_connection(where)]
+    spare = [socket.socket() for _ in range(2)]
+    for one in spare:
+        one.setblocking(False)
+        one.connect_ex(where)
+
+    def patient(settings: dict[str, Any]) -> None:
+        settings["bounds"]["dial_timeout_ns"] = 5 * 10**9
+
+    cache = Http(ok())
+    platform = start(caches=[cache], changed=patient)
+    line = member("s-0", "%s:%d" % where, "std", startedAtMs=1)
+    platform.tell(fleet={"generation": 2, "reset": False, "instances": [line]})
+    client = platform.client()
+    stream = client.ask(row=7, ttl="4000")
+    time.sleep(0.05)  # for the attempt to be under way; the outcome does not hang on it
+    purged = now_ms()
+    if news == "drain":
+        line = member("s-0", "%s:%d" % where, "std", "Terminating", startedAtMs=1)
+        platform.tell(fleet={"generation": 3, "reset": False, "instances": [line]})
+    else:
+        platform.tell(invalidate={"object": f"{7:016x}", "time": purged})
+    store.settimeout(5)
+    got = b""
+    while b"/v2/q/" not in got:
+        made, peer = store.accept()
+        held.append(made)
+        if peer in [s.getsockname() for s in [held[0], *spare]]:
+            continue
+        made.settimeout(5)
+        got = made.recv(4096)
+        if news == "drain":
+            assert got == b""
+            break
+        age = int(got.decode().split("X-Max-Age-Ms: ")[1].split("\r")[0])
+        assert now_ms() - age >= purged and "X-Flags: j" not in got.decode()
+        made.sendall(response(200, b"new", ETag="t", X_Born_Ms=str(now_ms())))
+    frame = client.read()
+    assert frame is not None and frame[1] == stream
+    assert frame[2][0] == (REFUSED if news == "drain" else SERVED)
+    for one in [*held, *spare, store]:
+        one.close()
+
+
 def test_no_copy_from_before_a_purge_is_asked_for_or_served(start: Callable[..., Platform]) -> None:
     platform = start()
     client = platform.client()
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -154,6 +154,13 @@
     assert front.get("/simple/", Bad_Header="x", Content_Length="5").status == 400
 
 
+def test_a_large_file_comes_whole(front: Front) -> None:
+    """Guards against a stream's own limit on what it reads, which a large body went over."""
+    front.stands[0].files = {"big-1.whl": bytes(range(256)) * 12_000}
+    front.start()
+    assert front.get(front.urls()["big-1.whl"]).body == front.stands[0].files["big-1.whl"]
+
+
 def test_pip_takes_a_file_through_it(front: Front, tmp_path: Path) -> None:
     """A client that is not ours: what it asks for and how is its own choice."""
     import io
--- /dev/null
+++ b/tests/test_state.py
@@ -0,0 +1,182 @@
+"""The reducer and what it keeps, without a socket."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Sequence
+from typing import Any
+
+import pytest
+
+from hallproxy import interface as i
+from hallproxy.logic import Router
+from hallproxy.run.sockets import Budget
+from hallproxy.state import effects, events
+from hallproxy.state.copies import Copies, Copy, Uplink
+from hallproxy.state.model import State
+from hallproxy.state.purges import Purges
+from hallproxy.state.reducer import reduce
+from hallproxy.wire.bench import settings_from_json
+from tests.gateway import platform_settings
+
+MS, SECOND = 10**6, 10**9
+START = 10**18
+
+
+class Core:
+    """The reducer, its clock, and the timers it has asked for."""
+
+    def __init__(self, stores: int = 2, **changed: Any) -> None:
+        settings = settings_from_json(json.dumps(platform_settings()).encode())
+        self.state = State(settings, Router(settings, 1), **changed)
+        self.now = START
+        self.timers: list[events.Event] = []
+        members = tuple(i.Member(b"s-%d" % n, i.State.READY) for n in range(stores))
+        change = i.MembersChanged(i.ListKind.FULL, members)
+        self.bring(events.MembersTold(START, change, ("a:1",) * stores))
+
+    def bring(self, event: events.Event) -> list[effects.Effect]:
+        done = reduce(self.state, event)
+        self.timers += [e.event for e in done if isinstance(e, effects.Wake)]
+        return [e for e in done if not isinstance(e, effects.Wake | effects.Say)]
+
+    def ask(self, caller: int, obj: int = 1, cls: int = 1) -> list[effects.Effect]:
+        asked = events.Asked("id", cls, 2 * SECOND, obj, f"{obj:016x}")
+        return self.bring(events.Arrived(self.now, caller, asked))
+
+    def wait(self, time: int) -> list[effects.Effect]:
+        until, done = self.now + time, []
+        while due := [t for t in self.timers if t.at <= until]:
+            first = min(due, key=lambda t: t.at)
+            self.timers.remove(first)
+            self.now = max(self.now, first.at)
+            done += self.bring(first)
+        self.now = until
+        return done
+
+
+def replies(done: Sequence[effects.Effect]) -> list[events.Verdict]:
+    return [e.answer.verdict for e in done if isinstance(e, effects.Reply)]
+
+
+def test_a_request_on_which_the_module_fails_still_gets_its_one_answer() -> None:
+    core = Core()
+
+    class Broken:
+        def handle(self, now: int, told: Sequence[i.Event]) -> list[i.Action]:
+            raise RuntimeError("fault")
+
+    whole = core.state.router
+    core.state.router = Broken()  # type: ignore[assignment]
+    with pytest.raises(RuntimeError):
+        core.ask(1)
+    core.state.router = whole
+    core.state.told.clear()
+    asked = events.Asked("id", 1, 2 * SECOND, 1, "1")
+    call = core.state.callers[1]
+    assert call.asked.left == asked.left
+    done = core.bring(events.CallDue(core.now + 2 * SECOND, call.ident))
+    assert replies(done) == [events.Verdict.FAILED] and not core.state.calls
+
+
+def test_connections_are_bounded_and_what_finds_none_is_not_lost() -> None:
+    core = Core(links_most=2)
+    opened = [e for n in range(5) for e in core.ask(n) if isinstance(e, effects.Open)]
+    assert len(opened) == 2 and len(core.state.links) == 2
+    done = core.wait(3 * SECOND)
+    assert not core.state.callers and not core.state.calls and not core.state.links
+    assert len(replies(done)) <= 5
+
+
+def test_requests_are_bounded() -> None:
+    core = Core(calls_most=1)
+    core.ask(1)
+    assert replies(core.ask(2)) == [events.Verdict.REFUSED]
+
+
+def test_nothing_is_left_behind_when_all_is_over() -> None:
+    core = Core()
+    for n in range(20):
+        opened = [e for e in core.ask(n, obj=n + 1) if isinstance(e, effects.Open | effects.Send)]
+        link = opened[0].link
+        core.bring(events.LinkUp(core.now, link))
+        assert not core.bring(events.LinkUp(core.now, link))
+        if n % 3 == 0:
+            core.bring(events.CallerLeft(core.now, n))
+        else:
+            result = events.Result(i.Status.OK, b"x")
+            done = core.bring(events.Answered(core.now, link, result, n % 2 == 0))
+            assert replies(done) == [events.Verdict.SERVED]
+            assert not replies(core.bring(events.Answered(core.now, link, result, True)))
+    core.wait(30 * SECOND)
+    state = core.state
+    assert not (state.calls or state.callers or state.attempts or state.links)
+    assert len(core.timers) < 5
+
+
+def test_copies_leave_by_rank_then_use_and_stay_bounded() -> None:
+    copies = Copies(most=100)
+
+    def put(n: int, rank: int, size: int = 40) -> None:
+        copies.put((0, n, 0), Copy(b"x" * size, "", 1, 7, rank))
+
+    def held() -> set[int]:
+        return {place[1] for rank in copies.ranks for place in rank}
+
+    put(1, 2)
+    put(2, 1)
+    assert copies.get((0, 2, 0))
+    put(3, 1)
+    assert held() == {1, 3} and copies.held == 80
+    put(4, 1, 70)  # would have to push out rank 2
+    assert held() == {1, 3}
+    put(5, 3, 90)
+    assert held() == {5} and copies.held == 90
+    put(6, 3, 101)
+    assert held() == {5}
+    copies.purge(0, 7, 1)
+    assert held() == set() and copies.held == 0
+
+
+def test_the_uplink_sends_in_order_at_its_pace() -> None:
+    link = Uplink(flow=100, link=200)
+    assert link.done_at(0, 100) == SECOND
+    link.take(0, 400)
+    assert link.done_at(0, 100) == 2 * SECOND + SECOND // 2
+    assert link.done_at(3 * SECOND, 100) == 4 * SECOND
+    assert Uplink().done_at(5, 100) == 5
+
+
+def test_purges_that_do_not_fit_hold_for_everything() -> None:
+    purges = Purges(most=2)
+    for obj in (1, 2, 3):
+        purges.add(obj, 0, 10 * obj)
+    purges.add(0, 5, 7)
+    assert [purges.last(n, 0) for n in (1, 2, 3, 4)] == [10, 20, 30, 10]
+    assert purges.last(4, 5) == 10 and len(purges.objects) == 2
+    purges.add(2, 0, 5)
+    assert purges.last(2, 0) == 20
+
+
+def test_a_budget_holds_back_until_there_is_room() -> None:
+    async def run() -> list[str]:
+        budget, said = Budget(100), []
+
+        async def use(name: str, size: int, gate: asyncio.Event) -> None:
+            await budget.take(size)
+            said.append(name)
+            await gate.wait()
+            budget.give(size)
+
+        first, second = asyncio.Event(), asyncio.Event()
+        second.set()
+        tasks = [asyncio.ensure_future(use(n, s, g)) for n, s, g in
+                 (("large", 150, first), ("a", 60, second), ("b", 60, second))]  # fmt: skip
+        await asyncio.sleep(0)
+        assert said == ["large"]
+        first.set()
+        await asyncio.gather(*tasks)
+        return said
+
+    assert asyncio.run(run()) == ["large", "a", "b"]
