Serve no own copy after 5 s without news: a purge may count as told unheard

Stores drop purged copies by themselves within 6 s; own copies in state/copies.py went on. The reducer now hears of each finished poll (NewsHeard).

--- a/hallproxy/run/changelog.py
+++ b/hallproxy/run/changelog.py
@@ -9,6 +9,7 @@
 from hallproxy.run.loop import Loop, say
 from hallproxy.run.sockets import Buffer, Stream, stream
 from hallproxy.run.stores import read_body, read_head
+from hallproxy.state.events import NewsHeard
 from hallproxy.wire.changelog import WAIT_MOST, ChangeError, poll_head, read_events, read_page
 from hallproxy.wire.http1 import Head
 
@@ -44,6 +45,7 @@
             await asyncio.sleep(PAUSE)
 
     async def _poll(self, made: Stream, buffer: Buffer) -> bool:
+        asked = self._loop.now()
         made.gather([poll_head(self._since, min(WAIT, WAIT_MOST), f"{self._where[0]}:{self._where[1]}")])
         limit = WAIT / 1000 + ANSWER_IN
         head, body = await asyncio.wait_for(_page(made, buffer), limit)
@@ -57,6 +59,8 @@
                 if event is not None:
                     self._loop.bring(event)
                 self._since = seq
+            # An answer that brings news may have been put together when it was asked for.
+            self._loop.bring(NewsHeard(asked))
         except ChangeError:
             self._gap = self._since
             raise
--- a/hallproxy/run/main.py
+++ b/hallproxy/run/main.py
@@ -24,6 +24,7 @@
 from hallproxy.run.contracts import ContractError
 from hallproxy.run.loop import Loop, say
 from hallproxy.run.stores import HttpStores
+from hallproxy.state.events import NewsHeard
 from hallproxy.state.model import State
 from hallproxy.wire.changelog import ChangeError
 from hallproxy.wire.stores import Platform
@@ -54,6 +55,8 @@
     since, told = config.first_events(loop.now())
     for event in told:
         loop.bring(event)
+    if config.changelog is not None:
+        loop.bring(NewsHeard(loop.now()))
     clients = Clients(loop, config.sockets * 2 // 5)
     host, port = config.listen
     listeners = bind_sockets(port, host, backlog=512)
--- a/hallproxy/run/repository_main.py
+++ b/hallproxy/run/repository_main.py
@@ -17,7 +17,7 @@
 from hallproxy.run.repository import Repository
 from hallproxy.run.repository_config import RepositoryConfig
 from hallproxy.run.stores import HttpStores
-from hallproxy.state.events import ContractsTold, MembersTold
+from hallproxy.state.events import ContractsTold, MembersTold, NewsHeard
 from hallproxy.state.model import State
 from hallproxy.wire.simple import Upstream
 
@@ -58,6 +58,7 @@
         contracts.look(first=True)
     tasks = [asyncio.ensure_future(contracts.run())] if contracts is not None else []
     if config.changelog is not None:
+        loop.bring(NewsHeard(loop.now()))
         tasks.append(asyncio.ensure_future(Poller(loop, config.changelog, 0).run()))
     host, port = config.listen
     listeners = bind_sockets(port, host, family=socket.AF_INET, backlog=256)
--- a/hallproxy/state/calls.py
+++ b/hallproxy/state/calls.py
@@ -14,6 +14,7 @@
 SECOND = 1_000_000_000  # ns
 AGE_MARGIN = 50_000_000  # ns under the fresh time at which an own copy is held to be too old
 UNCHANGED_PART = 20  # telling a client that its copy holds costs this part of sending it
+DEAF_AFTER = 5 * SECOND  # ns without news from which no own copy is served; a purge counts as told after 7 s
 OWN_BY = 0.4  # share of the aim by which an own copy must have left the link, to be taken before a store's
 BUSY_RETRY = 200_000_000  # ns of advice when more is open than the gateway may hold
 
@@ -75,6 +76,9 @@
 
 def own_copy(state: State, asked: Asked, by: float, left: int) -> Answer | None:
     """An answer from memory, if a copy is young enough and the link would have it there in time."""
+    if state.heard_at and state.now - state.heard_at > DEAF_AFTER:
+        # Stores drop what was purged by themselves, in time. A copy here would outlive a purge not heard of.
+        return None
     cls = state.settings.classes[asked.cls]
     place = (asked.cls, asked.object, asked.part)
     copy = state.copies.get(place) if state.copies.held and not asked.write else None
--- a/hallproxy/state/events.py
+++ b/hallproxy/state/events.py
@@ -126,6 +126,13 @@
     addresses: tuple[str, ...]
 
 
+@dataclass(slots=True, frozen=True)
+class NewsHeard:
+    """All news there was at ``at`` has been brought."""
+
+    at: int
+
+
 @dataclass(slots=True, frozen=True)
 class PurgeTold:
     """An object (0: the whole group) was purged at ``purged``."""
@@ -184,6 +191,7 @@
     | Answered
     | MembersTold
     | PurgeTold
+    | NewsHeard
     | Due
     | AttemptDue
     | LinkDue
--- a/hallproxy/state/model.py
+++ b/hallproxy/state/model.py
@@ -64,6 +64,7 @@
     copies: Copies = field(default_factory=Copies)
     uplink: Uplink = field(default_factory=Uplink)
     own_served: int = 0
+    heard_at: int = 0  # when all news there was had been heard; 0: there is nobody to hear it from
     purge_strict: bool = False  # also what was sent before a purge was heard may not be older at its answer
     contracts: Contracts | None = None  # None: none are kept here
     use: Use = field(default_factory=Use)
--- a/hallproxy/state/reducer.py
+++ b/hallproxy/state/reducer.py
@@ -23,6 +23,7 @@
     LinkDue,
     LinkUp,
     MembersTold,
+    NewsHeard,
     PurgeTold,
 )
 from hallproxy.state.model import State
@@ -54,6 +55,8 @@
             _members(state, event)
         case PurgeTold():
             _purge(state, event)
+        case NewsHeard():
+            state.heard_at = max(state.heard_at, event.at)
         case ContractsTold():
             state.contracts = event.contracts
     _consult(state)
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -6,6 +6,7 @@
 import hashlib
 import http.client
 import json
+import os
 import re
 import subprocess
 import sys
@@ -179,6 +180,7 @@
          "-d", str(tmp_path),
          "--index-url", f"http://127.0.0.1:{front.program.port}/simple/", "charger-fw"],
         capture_output=True, text=True,
+        env={"PATH": os.environ["PATH"], "PIP_CONFIG_FILE": os.devnull},  # no other index, no proxy
     )  # fmt: skip
     assert ran.returncode == 0, ran.stderr
     assert (tmp_path / name).read_bytes() == data.getvalue()
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -115,6 +115,20 @@
     assert len(core.timers) < 5
 
 
+def test_a_gateway_cut_off_from_the_news_serves_no_own_copies() -> None:
+    """Guards against a purge that counts as told though it never arrived here."""
+    core = Core()
+    core.state.copies.most = 100
+    core.state.copies.put((0, 1, 0), Copy(b"x", "", START, 0, 1))
+    for quiet, served in ((0, True), (4 * SECOND, True), (6 * SECOND, False)):
+        core.bring(events.NewsHeard(core.now))
+        core.now += quiet
+        assert bool(replies(core.ask(1, cls=0))) is served
+    core.bring(events.CallerLeft(core.now, 1))
+    core.bring(events.NewsHeard(core.now))
+    assert replies(core.ask(2, cls=0)) == [events.Verdict.SERVED]
+
+
 def test_copies_leave_by_rank_then_use_and_stay_bounded() -> None:
     copies = Copies(most=100)
 
