Give up what hangs at a machine that a connect found silent

Found by reading: attempts on pooled connections to a machine that vanished waited out their whole ttl (attempt_due in state/links.py was their only end). A connect that times out, with no sign of life from the store meanwhile, now ends them as broken, and the module tries again as the class allows.

--- a/hallproxy/state/links.py
+++ b/hallproxy/state/links.py
@@ -51,6 +51,7 @@
     link = state.links.get(ident)
     if link is not None and not link.up:
         link.up = True
+        state.heard[link.store] = state.now
         if link.attempt is not None:
             _send(state, link, link.attempt)
 
@@ -101,6 +102,7 @@
     if link is None:
         return
     one = link.attempt
+    state.heard[link.store] = state.now
     # An answer that nobody asked for: what comes next on that connection would be taken for another's.
     _free(state, link, event.reusable and one is not None)
     if one is None:
@@ -143,6 +145,7 @@
     if link is None:
         return
     if not link.up:
+        _silent(state, link.store)
         return down(state, ident)
     # One timer for each connection's whole life: it is set again here and nowhere else.
     left = state.idle_most
@@ -153,6 +156,22 @@
     state.effects.append(Wake(LinkDue(state.now + left, ident)))
 
 
+def _silent(state: State, store: bytes) -> None:
+    """A connect got no answer. If nothing else came from the store meanwhile, its machine is gone.
+
+    Guards against a machine that vanishes: its open connections stay quiet, and what was sent on them would
+    wait out its whole time. What may not run twice waits all the same: nothing shows that it did not run.
+    """
+    since = state.now - state.settings.connect_timeout
+    if state.heard.get(store, 0) > since:
+        return
+    for one in list(state.attempts.values()):
+        if one.get.server == store and one.written and one.sent_at <= since:
+            cls = state.settings.classes[state.calls[one.request].asked.cls]
+            if cls.effect is not i.Effect.UNSAFE:
+                _abandon(state, one, i.Status.RESET)
+
+
 def drop_idle(state: State, store: bytes) -> None:
     """The store's process is another one now, or none: its idle connections lead nowhere."""
     for link in list(state.idle.get(store, ())):
--- a/hallproxy/state/model.py
+++ b/hallproxy/state/model.py
@@ -74,6 +74,7 @@
     callers: dict[int, Call] = field(default_factory=dict)  # those owed an answer, by the front's handle
     attempts: dict[int, Attempt] = field(default_factory=dict)
     links: dict[int, Link] = field(default_factory=dict)
+    heard: dict[bytes, int] = field(default_factory=dict)  # when a store last gave a sign of life
     idle: dict[bytes, list[Link]] = field(default_factory=dict)
     last: int = 0  # the last number given to a call, an attempt or a link
     now: int = 0
--- a/hallproxy/state/reducer.py
+++ b/hallproxy/state/reducer.py
@@ -90,6 +90,7 @@
 def _members(state: State, event: MembersTold) -> None:
     for server in state.members.change(event.change, event.addresses):
         links.drop_idle(state, server)
+        state.heard.pop(server, None)
     state.told.append(event.change)
 
 
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -89,6 +89,26 @@
     assert len(replies(done)) <= 5
 
 
+@pytest.mark.parametrize(
+    ("cls", "sign", "tried_again"), [(1, False, True), (1, True, False), (3, False, False)]
+)
+def test_a_machine_that_vanished_does_not_hold_what_was_sent_to_it(
+    cls: int, sign: bool, tried_again: bool
+) -> None:
+    core = Core(stores=1)
+    first = next(e.link for e in core.ask(1, cls=cls) if isinstance(e, effects.Open))
+    core.bring(events.LinkUp(core.now, first))
+    core.now += 50 * MS
+    core.ask(2, cls=cls)  # on a new connection, which never comes up
+    core.wait(300 * MS)
+    if sign:
+        other = next(e.link for e in core.ask(3, cls=cls) if isinstance(e, effects.Open))
+        core.bring(events.LinkUp(core.now, other))
+    done = core.wait(101 * MS)
+    assert (effects.Close(first) in done) is tried_again
+    assert 1 in core.state.callers or replies(done)
+
+
 def test_requests_are_bounded() -> None:
     core = Core(calls_most=1)
     core.ask(1)
