Answer what the second front has taken before it ends; readable ids in the log

Seen by a test: SIGTERM while a file's index was being read cut the client off, as between the index and the file the core holds no request, and serve in run/repository_main.py waited for just those. It waits for the front's own count now.

--- a/hallproxy/logic.py
+++ b/hallproxy/logic.py
@@ -476,14 +476,14 @@
         if peer.benched:
             if peer.fail < UNBENCH_BELOW:
                 peer.benched = False
-                self._log("bench", f"back: {peer.member.server.hex()}")
+                self._log("bench", f"back: {shown(peer.member.server)}")
         elif peer.fail > BENCH_ABOVE:
             like = self.caches if peer in self.caches else [p for tier in self.tiers for p in tier]
             others = sorted(p.fail for p in like if p is not peer)
             alive = any(p.answered > self.now - SILENT for p in like if p is not peer)
             if alive and peer.fail >= BENCH_OVER_PEERS * others[len(others) // 2]:
                 peer.benched, peer.next_trial = True, self.now + TRIAL_EVERY
-                self._log("bench", f"benched: {peer.member.server.hex()} failing {peer.fail:.2f}")
+                self._log("bench", f"benched: {shown(peer.member.server)} failing {peer.fail:.2f}")
 
     def _give_up(self, entry: Open) -> None:
         """The final answer when nothing more can be tried: a refusal where that is true, else a failure."""
@@ -562,9 +562,9 @@
             for peer in group:
                 peer.served = 0.0
         self.status_at = self.now
-        sources = " ".join(f"{p.member.server.hex()}:{p.first_byte / MS:.0f}ms/{p.fail:.2f}/{p.out}"
+        sources = " ".join(f"{shown(p.member.server)}:{p.first_byte / MS:.0f}ms/{p.fail:.2f}/{p.out}"
                            for tier in self.tiers for p in tier)  # fmt: skip
-        caches = " ".join(f"{p.member.server.hex()}:{p.out}/{p.fail:.2f}/{p.slow:.1f}" for p in self.caches)
+        caches = " ".join(f"{shown(p.member.server)}:{p.out}/{p.fail:.2f}/{p.slow:.1f}" for p in self.caches)
         self._log("status", f"room {self.room:.1f} held {len(self.held)} | caches out/fail/slow {caches} | "
                             f"sources first-byte/fail/out {sources}")  # fmt: skip
 
@@ -708,6 +708,11 @@
             self.actions.append(i.Log(text))
 
 
+def shown(server: i.ServerId) -> str:
+    """A member's id as the log shows it: as it is where that can be read."""
+    return server.decode() if server.isascii() and server.decode().isprintable() else server.hex()
+
+
 def check(s: i.Settings) -> None:
     """Raise an error that names the setting where a required one makes no sense."""
     faults = (("classes", not s.classes), ("zone", not 0 <= s.zone < max(1, len(s.zone_hub))),
--- a/hallproxy/run/repository.py
+++ b/hallproxy/run/repository.py
@@ -82,6 +82,8 @@
         self.applied = Applied()  # teams' tokens and services' projects; read anew with the contracts
         self._classes = {c.name: n for n, c in enumerate(loop.state.settings.classes)}
         self._most = most
+        self.busy = 0  # requests taken whose answer has not left
+        self.stopping = False
         self._unsent = 0  # bytes that clients have not taken yet
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -109,9 +111,14 @@
                         raise HttpError("a request with a body")
                 except HttpError as error:
                     return await self._write(made, plain(400, str(error)), False, False)
-                response = await self._answer_or_leave(reader, head)
-                await self._write(made, response, head.method == "HEAD", head.keeps)
-                if not head.keeps:
+                self.busy += 1
+                try:
+                    response = await self._answer_or_leave(reader, head)
+                    keeps = head.keeps and not self.stopping
+                    await self._write(made, response, head.method == "HEAD", keeps)
+                finally:
+                    self.busy -= 1
+                if not keeps:
                     return
         except (StreamClosedError, OSError, TimeoutError):
             pass
--- a/hallproxy/run/repository_main.py
+++ b/hallproxy/run/repository_main.py
@@ -70,7 +70,9 @@
     for sock in listeners:
         sock.close()
     until = asyncio.get_running_loop().time() + STOP_IN
-    while loop.state.callers and asyncio.get_running_loop().time() < until:
+    front.stopping = True
+    # Not the core's requests: between the two that a file takes there is none open.
+    while front.busy and asyncio.get_running_loop().time() < until:
         await asyncio.sleep(0.02)
     await front.close()
     for task in tasks:
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -8,6 +8,7 @@
 import json
 import os
 import re
+import socket
 import subprocess
 import sys
 import threading
@@ -369,6 +370,40 @@
         assert front.get(front.urls()["b-1.whl"]).body == b"b" * 5000
 
 
+def test_sigterm_between_index_and_file_still_gives_the_file(front: Front) -> None:
+    stand = front.stands[0]
+    front.start()
+    url = front.urls()["a-1.whl"]
+    gate, came = threading.Event(), threading.Event()
+
+    def hold(_: Seen) -> bytes:
+        came.set()
+        gate.wait(5)
+        return b"pass"
+
+    stand.hook = hold
+    got: list[Got] = []
+    asking = threading.Thread(target=lambda: got.append(front.get(url)))
+    asking.start()
+    assert came.wait(5)
+    front.program.process.terminate()
+
+    def closed() -> bool:
+        try:
+            socket.create_connection(("127.0.0.1", front.program.port)).close()
+        except ConnectionRefusedError:
+            return True
+        except ConnectionResetError:  # it was waiting to be accepted when the port closed
+            return False
+        return False
+
+    until(closed)
+    gate.set()
+    asking.join()
+    assert (got[0].status, got[0].body) == (200, b"a" * 3000)
+    assert got[0].fields["connection"] == "close"
+
+
 def test_contracts_are_enforced_and_can_change_under_way(front: Front, tmp_path: Path) -> None:
     file, state, plan = tmp_path / "c.toml", tmp_path / "contracts.json", tmp_path / "p"
 
