Re-read the configuration whole on SIGHUP; ask a silent change log again at once

The configuration is read anew as a whole and becomes one event of the reducer (settings, bounds); the poller moves by closing what is open to the old address and asking the new one from the last event held. A file that can't be used, or that would need a restart, is one line in the log. Both fronts do so.

--- a/hallproxy/interface.py
+++ b/hallproxy/interface.py
@@ -211,6 +211,13 @@
     write: bool = False
 
 
+@dataclass(slots=True, frozen=True)
+class SettingsChanged:
+    """Other figures from now on; the classes and the zone are the same ones."""
+
+    settings: Settings
+
+
 @dataclass(slots=True, frozen=True)
 class Seen:
     """A request answered from the router's own memory: nothing is owed, but it was asked for."""
@@ -276,6 +283,7 @@
 
 Event = (
     MembersChanged
+    | SettingsChanged
     | Request
     | Seen
     | Outcome
--- a/hallproxy/logic.py
+++ b/hallproxy/logic.py
@@ -154,8 +154,6 @@
     """The decisions of one router. See the module's docstring and ``interface`` for its use."""
 
     def __init__(self, settings: i.Settings, seed: int) -> None:
-        check(settings)
-        self.s = settings
         self.random = random.Random(seed)
         self.actions: list[i.Action] = []
         self.now = 0
@@ -178,14 +176,21 @@
         self.purges: OrderedDict[int, tuple[int, int]] = OrderedDict()  # object -> (purged at, forget at)
         self.group_purges: OrderedDict[int, tuple[int, int]] = OrderedDict()
         self.purge_floor = (0, 0)  # (purged at, forget at) for everything, once the table overflowed
-        told = settings.zone_routers
-        self.zone_routers = max(1, told[settings.zone] if told else settings.routers)
-        self.retries = self.retries_most = max(1.0, RETRY_BURST / self.zone_routers)
+        self._settings(settings)
+        self.retries = self.retries_most
         self.carried = [LINK_LEAST / self.zone_routers] * 2  # of a warm cache, parent, for this router
         self.ask_at = 0 if settings.ask else OPEN_EVER
         self.status_at = 0
         self.logged: dict[str, int] = {}
 
+    def _settings(self, settings: i.Settings) -> None:
+        """The figures to decide by from now on; what was learned stays, and so does what is open."""
+        check(settings)
+        self.s, told = settings, settings.zone_routers
+        self.zone_routers = max(1, told[settings.zone] if told else settings.routers)
+        self.retries_most = max(1.0, RETRY_BURST / self.zone_routers)
+        self._members(i.MembersChanged(i.ListKind.DELTA))  # hubs may lie otherwise now
+
     def handle(self, now: int, events: Sequence[i.Event]) -> list[i.Action]:
         """Take the events of one instant and say what to do at that instant."""
         self.now = now
@@ -203,6 +208,8 @@
                     self._members(event)
                 case i.Purge():
                     self._purge(event)
+                case i.SettingsChanged():
+                    self._settings(event.settings)
                 case i.ClientGone():
                     self._end(event.request)
                 case i.StreamStarted() if event.request in self.open:
--- a/hallproxy/run/changelog.py
+++ b/hallproxy/run/changelog.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from typing import Any
 
 from hallproxy.run.config import Address
 from hallproxy.run.loop import Loop, say
@@ -13,9 +14,10 @@
 from hallproxy.wire.changelog import WAIT_MOST, ChangeError, poll_head, read_events, read_page
 from hallproxy.wire.http1 import Head
 
-WAIT = 2_000  # ms a poll is held; short, so that a log that has gone silent is noticed
-ANSWER_IN = 1.0  # s more after which a poll has failed
-PAUSE = 0.05  # s between a failure and the next try
+WAIT = 1_000  # ms a poll is held; short, so that a log that has gone silent is noticed
+CONNECT_IN = 1.0  # s
+ANSWER_IN = 0.25  # s past the wait that was asked for after which a poll has failed
+PAUSE = 0.05  # s at least from one connect to the next
 PAGE_MOST = 16 * 1024 * 1024
 
 
@@ -28,21 +30,41 @@
     def __init__(self, loop: Loop, where: Address, since: int) -> None:
         self._loop, self._where, self._since = loop, where, since
         self._gap = -1  # the number before a gap that the log was asked about once
+        self._made: Stream | None = None
+
+    def move(self, where: Address, known: dict[str, Any]) -> None:
+        """Follow the log at its new address from now on: the numbers go on, and so does what is held.
+
+        What the old address is still sending is dropped whole; the new one tells it from the last event held.
+        """
+        try:
+            self._take(known, False)
+        except ChangeError as error:  # `known` may start later than what is held: the log has the rest
+            say(f"change log: {error}")
+        if where != self._where:
+            self._where = where
+            if self._made is not None:
+                self._made.close()
 
     async def run(self) -> None:
         """Poll for ever. Whatever fails is tried again; what was held is not lost by it."""
         while True:
-            made = stream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+            where, began = self._where, asyncio.get_running_loop().time()
+            self._made = made = stream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
             try:
-                await asyncio.wait_for(made.connect(self._where), ANSWER_IN)
+                await asyncio.wait_for(made.connect(where), CONNECT_IN)
                 buffer = Buffer()
                 while await self._poll(made, buffer):
                     pass
             except Exception as error:  # whatever it is: a gateway that hears no news breaks rules
-                say(f"change log: {type(error).__name__} {error}")
+                if where == self._where:
+                    say(f"change log: {type(error).__name__} {error}")
             finally:
                 made.close()
-            await asyncio.sleep(PAUSE)
+            # A poll that broke or went silent is asked again at once, as what it would have told counts as
+            # told; a log that takes connections and ends them, or takes none, is not asked without pause.
+            if where == self._where:
+                await asyncio.sleep(max(0.0, began + PAUSE - asyncio.get_running_loop().time()))
 
     async def _poll(self, made: Stream, buffer: Buffer) -> bool:
         asked = self._loop.now()
@@ -52,16 +74,18 @@
         if head.status != 200:
             raise ChangeError(f"answer {head.status}")
         try:
-            gaps = self._gap == self._since
-            for seq, event in read_events(
-                read_page(body), self._since, self._loop.state.settings, self._loop.now(), gaps
-            ):
-                if event is not None:
-                    self._loop.bring(event)
-                self._since = seq
-            # An answer that brings news may have been put together when it was asked for.
-            self._loop.bring(NewsHeard(asked))
+            self._take(read_page(body), self._gap == self._since)
         except ChangeError:
             self._gap = self._since
             raise
+        # An answer that brings news may have been put together when it was asked for.
+        self._loop.bring(NewsHeard(asked))
         return head.keeps
+
+    def _take(self, page: dict[str, Any], gaps: bool) -> None:
+        """Bring the events that are new, each of them whole or not at all."""
+        state = self._loop.state
+        for seq, event in read_events(page, self._since, state.settings, self._loop.now(), gaps):
+            if event is not None:
+                self._loop.bring(event)
+            self._since = seq
--- a/hallproxy/run/clients.py
+++ b/hallproxy/run/clients.py
@@ -114,7 +114,7 @@
         self.connections: set[Connection] = set()
         self.stopping = False
         self.asked_at = 0.0  # when the last request or connection came
-        self._most = most
+        self.most = most
         self._tasks: set[asyncio.Task[None]] = set()
 
     def over(self) -> bool:
@@ -122,7 +122,7 @@
         return sum(c.unsent for c in self.connections) > ALL_UNSENT_MOST
 
     def accept(self, sock: socket.socket, _: object) -> None:
-        if len(self.connections) >= self._most:
+        if len(self.connections) >= self.most:
             # Guards the descriptors: the front keeps to a third of them, so this is no client of ours.
             sock.close()
             return
--- a/hallproxy/run/main.py
+++ b/hallproxy/run/main.py
@@ -16,15 +16,17 @@
 from tornado.netutil import add_accept_handler, bind_sockets
 
 from hallproxy.interface import SettingsError
-from hallproxy.logic import Router
+from hallproxy.logic import Router, check
 from hallproxy.run import contracts, repository_config, repository_main
 from hallproxy.run.changelog import Poller
 from hallproxy.run.clients import Clients
 from hallproxy.run.config import Config, ConfigError, load
 from hallproxy.run.contracts import ContractError
 from hallproxy.run.loop import Loop, say
+from hallproxy.run.signals import Signals
 from hallproxy.run.stores import HttpStores
-from hallproxy.state.events import NewsHeard
+from hallproxy.state.bounds import Bounds
+from hallproxy.state.events import NewsHeard, Reconfigured
 from hallproxy.state.model import State
 from hallproxy.wire.changelog import ChangeError
 from hallproxy.wire.stores import Platform
@@ -38,43 +40,68 @@
 SECOND = 1_000_000_000
 
 
-def new_state(config: Config) -> State:
-    state = State(config.settings, Router(config.settings, config.seed))
-    state.links_most = max(8, config.sockets - config.sockets * 2 // 5 - RESERVE)
-    if config.settings.idle_close:
+def bounds(config: Config) -> Bounds:
+    idle_close = config.settings.idle_close
+    return Bounds(
+        links=max(8, config.sockets - config.sockets * 2 // 5 - RESERVE),
         # Closed here before the store does it: a request must not meet a connection being closed.
-        state.idle_most = max(SECOND, config.settings.idle_close - 3 * SECOND)
-    state.copies.most = max(0, config.memory_mb - OTHER_MB) * 1024 * 1024 * 3 // 4
-    state.uplink.flow, state.uplink.link = config.flow, config.link
-    return state
+        idle=max(SECOND, idle_close - 3 * SECOND) if idle_close else 10 * SECOND,
+        copies=max(0, config.memory_mb - OTHER_MB) * 1024 * 1024 * 3 // 4,
+        flow=config.flow,
+        uplink=config.link,
+    )
 
 
-async def serve(config: Config, stopped: asyncio.Event) -> None:
-    loop = Loop(new_state(config))
-    loop.stores = HttpStores(loop, Platform(config.settings), BODIES_MB * 1024 * 1024)
+async def serve(config: Config, signals: Signals) -> None:
+    loop = Loop(State(config.settings, Router(config.settings, config.seed), bounds(config)))
+    speech = Platform(config.settings)
+    loop.stores = HttpStores(loop, speech, BODIES_MB * 1024 * 1024)
     since, told = config.first_events(loop.now())
     for event in told:
         loop.bring(event)
     if config.changelog is not None:
         loop.bring(NewsHeard(loop.now()))
-    clients = Clients(loop, config.sockets * 2 // 5)
+    clients = Clients(loop, clients_most(config))
     host, port = config.listen
     listeners = bind_sockets(port, host, backlog=512)
     stops: list[Callable[[], None]] = [add_accept_handler(sock, clients.accept) for sock in listeners]
-    poller = None
+    poller, tasks = None, []
     if config.changelog is not None:
-        poller = asyncio.get_running_loop().create_task(Poller(loop, config.changelog, since).run())
+        poller = Poller(loop, config.changelog, since)
+        tasks.append(asyncio.ensure_future(poller.run()))
     gc.collect()
     gc.freeze()
     say(f"{config.name} listens on {host}:{listeners[0].getsockname()[1]}")
-    await stopped.wait()
+
+    def reload() -> None:
+        """Take the configuration as it is now; one that can't be used changes nothing."""
+        new = load(os.environ)
+        if [c.name for c in new.settings.classes] != [c.name for c in config.settings.classes]:
+            raise ConfigError("other classes need a restart")
+        if new.settings.zone != config.settings.zone or new.listen != config.listen:
+            raise ConfigError("another zone or address to listen on needs a restart")
+        if (new.changelog is None) != (poller is None):
+            raise ConfigError("a change log where there was none, or none any more, needs a restart")
+        check(new.settings)
+        speech.settings = new.settings
+        loop.bring(Reconfigured(loop.now(), new.settings, bounds(new)))
+        clients.most = clients_most(new)
+        if poller is not None and new.changelog is not None:
+            poller.move(new.changelog, new.known)
+
+    tasks.append(asyncio.ensure_future(signals.reloads(reload)))
+    await signals.stopped.wait()
     await drain(clients, loop)
     for stop in stops:
         stop()
     for sock in listeners:
         sock.close()
-    if poller is not None:
-        poller.cancel()
+    for task in tasks:
+        task.cancel()
+
+
+def clients_most(config: Config) -> int:
+    return config.sockets * 2 // 5
 
 
 async def drain(clients: Clients, loop: Loop) -> None:
@@ -100,12 +127,13 @@
     say("stopped: all is answered")
 
 
-async def _until_stopped(serving: Callable[[asyncio.Event], Coroutine[Any, Any, None]]) -> None:
-    stopped = asyncio.Event()
+async def _until_stopped(serving: Callable[[Signals], Coroutine[Any, Any, None]]) -> None:
+    signals = Signals()
     running = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        running.add_signal_handler(number, stopped.set)
-    await serving(stopped)
+        running.add_signal_handler(number, signals.stopped.set)
+    running.add_signal_handler(signal.SIGHUP, signals.reload.set)
+    await serving(signals)
 
 
 def _arguments() -> argparse.ArgumentParser:
@@ -138,6 +166,8 @@
 def main(argv: Sequence[str] | None = None) -> int:
     """Do as the command says; what can't be used ends it with one plain line and a status of 1."""
     args = _arguments().parse_args(argv)
+    # Until the loop runs there is nothing to read anew, and the default would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         match args.command:
             case "plan":
@@ -146,7 +176,7 @@
                 _apply(args)
             case "repository":
                 settled = repository_config.load(args.file)
-                asyncio.run(_until_stopped(partial(repository_main.serve, settled)))
+                asyncio.run(_until_stopped(partial(repository_main.serve, args.file, settled)))
             case _:
                 asyncio.run(_until_stopped(partial(serve, load(os.environ))))
     except (ConfigError, ContractError, SettingsError, ChangeError) as error:
--- a/hallproxy/run/repository_main.py
+++ b/hallproxy/run/repository_main.py
@@ -10,32 +10,40 @@
 from tornado.netutil import add_accept_handler, bind_sockets
 
 from hallproxy import interface as i
-from hallproxy.logic import Router
+from hallproxy.logic import Router, check
 from hallproxy.run.changelog import Poller
+from hallproxy.run.config import ConfigError
 from hallproxy.run.contracts import Applied, ContractError, in_force, read_applied
 from hallproxy.run.loop import Loop, say
 from hallproxy.run.repository import Repository
-from hallproxy.run.repository_config import RepositoryConfig
+from hallproxy.run.repository_config import RepositoryConfig, load
+from hallproxy.run.signals import Signals
 from hallproxy.run.stores import HttpStores
-from hallproxy.state.events import ContractsTold, MembersTold, NewsHeard
+from hallproxy.state.bounds import Bounds
+from hallproxy.state.events import ContractsTold, MembersTold, NewsHeard, Reconfigured
 from hallproxy.state.model import State
 from hallproxy.wire.simple import Upstream
 
 CONNECTIONS = 256
+SECOND = 1_000_000_000
 LOOK_EVERY = 0.1  # s between looks at the applied contracts
 BODIES = 64 * 1024 * 1024  # bytes of bodies being read from upstream
 STOP_IN = 10.0  # s after SIGTERM by which what is open is cut
 
 
+def bounds(config: RepositoryConfig) -> Bounds:
+    return Bounds(
+        links=CONNECTIONS,
+        # Bodies are taken in whole, so what is open at once bounds the memory they take.
+        calls=CONNECTIONS,
+        idle=config.settings.idle_close or 10 * SECOND,
+        copies=config.copies_most,
+    )
+
+
 def new_state(config: RepositoryConfig) -> State:
-    state = State(config.settings, Router(config.settings, secrets.randbits(64)))
+    state = State(config.settings, Router(config.settings, secrets.randbits(64)), bounds(config))
     state.purge_strict = True
-    state.links_most = CONNECTIONS
-    # Bodies are taken in whole, so what is open at once bounds the memory they take.
-    state.calls_most = CONNECTIONS
-    state.copies.most = config.copies_most
-    if config.settings.idle_close:
-        state.idle_most = config.settings.idle_close
     return state
 
 
@@ -47,7 +55,7 @@
     return MembersTold(now, change, tuple(where for _, where in config.upstreams))
 
 
-async def serve(config: RepositoryConfig, stopped: asyncio.Event) -> None:
+async def serve(path: Path, config: RepositoryConfig, signals: Signals) -> None:
     loop = Loop(new_state(config))
     upstream = Upstream(config.file_most, (where for _, where in config.upstreams))
     loop.stores = HttpStores(loop, upstream, BODIES)
@@ -57,14 +65,34 @@
     if contracts is not None:
         contracts.look(first=True)
     tasks = [asyncio.ensure_future(contracts.run())] if contracts is not None else []
+    poller = None
     if config.changelog is not None:
         loop.bring(NewsHeard(loop.now()))
-        tasks.append(asyncio.ensure_future(Poller(loop, config.changelog, 0).run()))
+        poller = Poller(loop, config.changelog, 0)
+        tasks.append(asyncio.ensure_future(poller.run()))
     host, port = config.listen
     listeners = bind_sockets(port, host, family=socket.AF_INET, backlog=256)
     stops = [add_accept_handler(sock, front.accept) for sock in listeners]
     say(f"repository listens on {host}:{listeners[0].getsockname()[1]}")
-    await stopped.wait()
+
+    def reload() -> None:
+        """Take the deploy file as it is now; one that can't be used changes nothing."""
+        new = load(path)
+        if [c.name for c in new.settings.classes] != [c.name for c in config.settings.classes]:
+            raise ConfigError("other classes need a restart")
+        if (new.listen, new.contracts) != (config.listen, config.contracts):
+            raise ConfigError("another address to listen on, or other contracts, need a restart")
+        if (new.changelog is None) != (poller is None):
+            raise ConfigError("a change log where there was none, or none any more, needs a restart")
+        check(new.settings)
+        upstream.configure(new.file_most, (where for _, where in new.upstreams))
+        loop.bring(Reconfigured(loop.now(), new.settings, bounds(new)))
+        loop.bring(_members(new, loop.now()))
+        if poller is not None and new.changelog is not None:
+            poller.move(new.changelog, {"results": []})
+
+    tasks.append(asyncio.ensure_future(signals.reloads(reload)))
+    await signals.stopped.wait()
     for stop in stops:
         stop()
     for sock in listeners:
--- /dev/null
+++ b/hallproxy/state/bounds.py
@@ -0,0 +1,15 @@
+"""How much of everything may be held, as the configuration's limits allow."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True)
+class Bounds:
+    links: int = 400  # connections to stores
+    calls: int = 1_000  # requests open at once
+    idle: int = 10**10  # ns; how long an idle connection to a store is kept
+    copies: int = 0  # bytes of own copies
+    flow: int = 0  # bytes a second of one transfer of an own copy; 0: not told
+    uplink: int = 0  # bytes a second of all such transfers together
--- a/hallproxy/state/calls.py
+++ b/hallproxy/state/calls.py
@@ -26,7 +26,7 @@
         if refusal is not None:
             state.effects.append(Reply(event.caller, refusal))
             return
-    if len(state.callers) >= state.calls_most:
+    if len(state.callers) >= state.bounds.calls:
         # Guards memory: what is open is bounded, and over that a plain no costs least.
         busy = Answer(Verdict.REFUSED, retry_after=BUSY_RETRY, reason=Reason.BUSY)
         state.effects.append(Reply(event.caller, busy))
--- a/hallproxy/state/copies.py
+++ b/hallproxy/state/copies.py
@@ -62,6 +62,12 @@
         self.ranks[copy.rank - 1][place] = copy
         self.held += size
 
+    def resize(self, most: int) -> None:
+        self.most = most
+        for rank in self.ranks:
+            while self.held > most and rank:
+                self.held -= len(rank.popitem(last=False)[1].body)
+
     def get(self, place: Place) -> Copy | None:
         for rank in self.ranks:
             if place in rank:
--- a/hallproxy/state/events.py
+++ b/hallproxy/state/events.py
@@ -6,6 +6,7 @@
 from enum import Enum
 
 from hallproxy import interface as i
+from hallproxy.state.bounds import Bounds
 from hallproxy.state.contracts import Contracts
 
 
@@ -183,6 +184,15 @@
     contracts: Contracts | None
 
 
+@dataclass(slots=True, frozen=True)
+class Reconfigured:
+    """The configuration was read anew. The classes are the same ones: what is open goes on."""
+
+    at: int
+    settings: i.Settings
+    bounds: Bounds
+
+
 Event = (
     Arrived
     | CallerLeft
@@ -197,4 +207,5 @@
     | LinkDue
     | CallDue
     | ContractsTold
+    | Reconfigured
 )
--- a/hallproxy/state/links.py
+++ b/hallproxy/state/links.py
@@ -38,7 +38,7 @@
         link = idle.pop()
         link.attempt, one.link = one, link.ident
         return _send(state, link, one)
-    if len(state.links) >= state.links_most and not _make_room(state):
+    if len(state.links) >= state.bounds.links and not _make_room(state):
         return _over(state, one, i.Status.MOOT)
     link = Link(state.number(), get.server, one)
     one.link = link.ident
@@ -148,7 +148,7 @@
         _silent(state, link.store)
         return down(state, ident)
     # One timer for each connection's whole life: it is set again here and nowhere else.
-    left = state.idle_most
+    left = state.bounds.idle
     if link.attempt is None:
         left += link.idle_since - state.now
         if left <= 0:
--- a/hallproxy/state/model.py
+++ b/hallproxy/state/model.py
@@ -7,6 +7,7 @@
 
 from hallproxy import interface as i
 from hallproxy.logic import Router
+from hallproxy.state.bounds import Bounds
 from hallproxy.state.contracts import Contracts, Use
 from hallproxy.state.copies import Copies, Uplink
 from hallproxy.state.effects import Effect, Order
@@ -58,9 +59,7 @@
 class State:
     settings: i.Settings
     router: Router
-    links_most: int = 400
-    calls_most: int = 1_000
-    idle_most: int = 10**10  # ns; how long an idle connection is kept
+    bounds: Bounds = field(default_factory=Bounds)
     copies: Copies = field(default_factory=Copies)
     uplink: Uplink = field(default_factory=Uplink)
     own_served: int = 0
@@ -81,6 +80,14 @@
     told: deque[i.Event] = field(default_factory=deque)  # what the module has yet to hear
     effects: list[Effect] = field(default_factory=list)
 
+    def __post_init__(self) -> None:
+        self.bound(self.bounds)
+
+    def bound(self, bounds: Bounds) -> None:
+        self.bounds = bounds
+        self.copies.resize(bounds.copies)
+        self.uplink.flow, self.uplink.link = bounds.flow, bounds.uplink
+
     def number(self) -> int:
         self.last += 1
         return self.last
--- a/hallproxy/state/reducer.py
+++ b/hallproxy/state/reducer.py
@@ -25,6 +25,7 @@
     MembersTold,
     NewsHeard,
     PurgeTold,
+    Reconfigured,
 )
 from hallproxy.state.model import State
 
@@ -59,6 +60,8 @@
             state.heard_at = max(state.heard_at, event.at)
         case ContractsTold():
             state.contracts = event.contracts
+        case Reconfigured():
+            _reconfigured(state, event)
     _consult(state)
     effects, state.effects = state.effects, []
     return effects
@@ -87,6 +90,13 @@
                     pass
 
 
+def _reconfigured(state: State, event: Reconfigured) -> None:
+    """New figures from here on. What is open keeps what it was opened with."""
+    state.settings = event.settings
+    state.bound(event.bounds)
+    state.told.append(i.SettingsChanged(event.settings))
+
+
 def _members(state: State, event: MembersTold) -> None:
     for server in state.members.change(event.change, event.addresses):
         links.drop_idle(state, server)
--- a/hallproxy/wire/simple.py
+++ b/hallproxy/wire/simple.py
@@ -287,6 +287,9 @@
     """The wire to an upstream repository, for the effect runner."""
 
     def __init__(self, most: int, hosts: Iterable[str]) -> None:
+        self.configure(most, hosts)
+
+    def configure(self, most: int, hosts: Iterable[str]) -> None:
         self.most = most
         self._hosts = tuple(hosts)
 
--- a/hallproxy/wire/stores.py
+++ b/hallproxy/wire/stores.py
@@ -75,13 +75,13 @@
     most = MOST
 
     def __init__(self, settings: i.Settings) -> None:
-        self._settings = settings
+        self.settings = settings
 
     def head(self, order: Order, host: str) -> bytes:
-        return order_head(order, host, self._settings)
+        return order_head(order, host, self.settings)
 
     def read(self, _order: Order, head: Head, body: bytes, _sent_at: int) -> Result:
-        return read_answer(head, body, self._settings)
+        return read_answer(head, body, self.settings)
 
 
 def read_load(text: str, names: tuple[str, ...]) -> tuple[float, ...]:
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,131 @@
+"""SIGHUP and a change log in trouble, on real sockets."""
+
+from __future__ import annotations
+
+import json
+import signal
+import threading
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from hallproxy.wire import frames
+from tests.gateway import ChangeLog, Http, Platform, Program, member, now_ms, ok, response, until
+
+SERVED = frames.SERVED
+
+
+@pytest.fixture
+def platform(tmp_path: Path) -> Iterator[Platform]:
+    made = Platform(tmp_path).start()
+    yield made
+    if made.program.process.poll() is None:
+        made.program.process.kill()
+    made.program.wait()
+
+
+def hang_up(platform: Platform, text: str | None = None, **changed: Any) -> None:
+    """Replace the file and send SIGHUP; what the program says of it is waited for."""
+    platform.config |= changed
+    (platform.path / "config.json").write_text(json.dumps(platform.config) if text is None else text)
+    before = said(platform.program)
+    platform.program.process.send_signal(signal.SIGHUP)
+    until(lambda: said(platform.program) > before)
+
+
+def said(program: Program) -> int:
+    return sum(x.startswith("the configuration") for x in program.lines)
+
+
+def gone(platform: Platform, number: int) -> dict[str, Any]:
+    line = member(f"s-{number}", platform.caches[number].address, "std", "Gone")
+    return {"generation": 9, "reset": False, "instances": [line]}
+
+
+def test_sighup_moves_the_poll_and_leaves_open_work_alone(platform: Platform) -> None:
+    """The old log stays silent on its open connection: waiting for it would leave a gap."""
+    platform.tell(invalidate={"object": f"{7:016x}", "time": now_ms()})
+    gate = threading.Event()
+    platform.all_reply(lambda s: ok()(s) if gate.wait(5) else None)
+    client = platform.client()
+    stream = client.ask(ttl="8000")
+    until(lambda: platform.seen)
+    new = ChangeLog()
+    new.events = [*platform.log.events]
+    new.add(fleet=gone(platform, 0))
+    hang_up(platform, changelog=new.address)
+    until(lambda: 3 in new.polled)
+    assert new.polled[0] == 2  # the numbers go on from what was held: no gap, nothing twice
+    gate.set()
+    frame = client.read()
+    assert frame is not None and frame[1] == stream and frame[2][0] == SERVED
+    before = len(platform.caches[0].seen)
+    for row in range(2, 8):
+        client.ask(row=row)
+        assert client.answer()[0] == SERVED
+    assert len(platform.caches[0].seen) == before
+
+
+def test_sighup_takes_new_figures_and_the_events_that_the_file_holds(platform: Platform) -> None:
+    platform.log.events.append({"seq": 2, "fleet": gone(platform, 0)})  # in `known` alone: nobody is woken
+    platform.config["settings"]["bounds"]["max_attempts"] = 1
+    hang_up(platform, known=platform.log.page(1))
+    platform.caches[1].reply = lambda _: response(500)
+    client = platform.client()
+    client.ask()
+    assert client.answer()[0] != SERVED
+    assert len(platform.caches[1].seen) == 1 and not platform.caches[0].seen
+
+
+@pytest.mark.parametrize("text", ["{", "[]", '{"listen": "127.0.0.1:0"}', "other classes", "other listen"])
+def test_a_file_that_cannot_be_used_changes_nothing(platform: Platform, text: str) -> None:
+    held = json.loads(json.dumps(platform.config))
+    if text == "other classes":
+        held["settings"]["classes"].reverse()
+    elif text == "other listen":
+        held["listen"] = "127.0.0.1:1"
+    hang_up(platform, json.dumps(held) if text.startswith("other") else text, changelog=ChangeLog().address)
+    assert any("stays as it was" in x for x in platform.program.lines)
+    platform.tell(invalidate={"object": f"{7:016x}", "time": now_ms()})  # still heard from the old log
+    client = platform.client()
+    client.ask()
+    assert client.answer()[0] == SERVED
+
+
+def polls(reply: Callable[[int, int], bytes | None], platform: Platform) -> list[tuple[int, float]]:
+    """Move the gateway to a log that answers by the poll's place and number; all polls and their times."""
+    seen: list[tuple[int, float]] = []
+
+    def answer(asked: Any) -> bytes | None:
+        since = int(asked.path.split("since=")[1].split("&")[0])
+        seen.append((since, time.monotonic()))
+        return reply(len(seen), since)
+
+    hang_up(platform, changelog=Http(answer).address)
+    return seen
+
+
+def page(*events: dict[str, Any]) -> bytes:
+    return response(200, json.dumps({"seq": events[-1]["seq"] if events else 1, "results": events}).encode())
+
+
+def test_an_event_cut_in_half_is_not_half_applied_and_asked_for_at_once(platform: Platform) -> None:
+    whole = page({"seq": 2, "fleet": gone(platform, 0)}, {"seq": 3, "fleet": gone(platform, 1)})
+
+    def reply(place: int, since: int) -> bytes | None:
+        return whole[:-60] if place == 1 else whole if place == 2 else None
+
+    seen = polls(reply, platform)
+    until(lambda: len(seen) > 2)
+    assert [since for since, _ in seen[:3]] == [1, 1, 3]
+    assert seen[1][1] - seen[0][1] < 0.5
+
+
+def test_a_silent_poll_ends_with_the_wait_it_asked_for(platform: Platform) -> None:
+    """What a log that stopped would have told counts as told soon after that wait."""
+    seen = polls(lambda place, since: None, platform)
+    until(lambda: len(seen) > 1)
+    assert 0.9 < seen[1][1] - seen[0][1] < 1.9
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -13,6 +13,7 @@
 from hallproxy.logic import Router
 from hallproxy.run.sockets import Budget
 from hallproxy.state import effects, events
+from hallproxy.state.bounds import Bounds
 from hallproxy.state.copies import Copies, Copy, Uplink
 from hallproxy.state.model import State
 from hallproxy.state.purges import Purges
@@ -81,7 +82,7 @@
 
 
 def test_connections_are_bounded_and_what_finds_none_is_not_lost() -> None:
-    core = Core(links_most=2)
+    core = Core(bounds=Bounds(links=2))
     opened = [e for n in range(5) for e in core.ask(n) if isinstance(e, effects.Open)]
     assert len(opened) == 2 and len(core.state.links) == 2
     done = core.wait(3 * SECOND)
@@ -110,7 +111,7 @@
 
 
 def test_requests_are_bounded() -> None:
-    core = Core(calls_most=1)
+    core = Core(bounds=Bounds(calls=1))
     core.ask(1)
     assert replies(core.ask(2)) == [events.Verdict.REFUSED]
 
