Impatient clients' time-outs no longer shrink the room or bench caches

Faulty lines: logic.py _size_room and _judge, which took every time-out for a jam.

Errors of a request count once and end it at the third; what can't be there in time is refused at once; the look through held requests stops at the first for which there is no room, with the same result.

--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -13,9 +13,12 @@
     MembersChanged,
     Refuse,
     Request,
+    SetTimer,
     State,
     Status,
+    TimerFired,
 )
+from hallproxy.logic import ERRORS_MOST, Open
 from tests.fleet import CACHES, FLEET, MS, NEAR, NEXT, ORIGIN, SECOND, Driver
 
 
@@ -311,3 +314,61 @@
                 d.end(ident, latency=4 * SECOND)  # late: the room shrinks to its least
         rooms[weight] = d.router.room
     assert rooms[4.0] == 12.0 and rooms[40.0] == 120.0
+
+
+def test_time_outs_of_impatient_clients_neither_shrink_the_room_nor_bench_a_cache() -> None:
+    """They leave before an answer could be late, so they say nothing of stores or of how full it is."""
+    d = Driver()
+    d.serve(20)
+    room = d.router.room
+    for obj in range(100, 140):
+        ident = d.ask(obj=obj, size=50.0, left=80 * MS)
+        d.now += 76 * MS
+        d.end(ident, Status.TIMEOUT, 76 * MS)
+    assert d.router.room == room
+    assert not any(p.benched or p.fail for p in d.router.caches)
+    ident = d.ask(obj=200, size=50.0)
+    d.now += SECOND
+    d.end(ident, Status.TIMEOUT, SECOND)
+    assert d.router.room < room
+
+
+def test_what_cannot_be_there_in_time_is_refused_at_once_and_what_can_is_tried() -> None:
+    d = Driver()
+    ident = d.next_id
+    told = d.handle(Request(ident, 0, 300 * MS, object=1, size_kb=400.0))  # takes 400 ms to send
+    d.next_id += 1
+    assert [type(a) for a in told if not isinstance(a, SetTimer)] == [Refuse] and ident not in d.sent
+    assert d.sent[d.ask(size=5.0, left=15 * MS)]
+
+
+def test_errors_of_one_request_are_counted_once_and_end_its_tries() -> None:
+    """A request that no store can use must not bench the stores it is tried at, nor use up the retries."""
+    d = Driver(max_attempts=8)
+    d.serve(40)
+    for obj in range(100, 108):
+        ident = d.ask(obj=obj)
+        for _ in range(8):
+            if d.end(ident, Status.ERROR, 2 * MS)[-1:] == [Refuse(ident, 200 * MS)]:
+                break
+        assert len(d.sent[ident]) == ERRORS_MOST
+        d.serve(6, first=1_000 + 10 * obj)
+    assert not any(p.benched for p in d.router.peers.values())
+
+
+def test_a_flood_that_waits_is_not_looked_through_at_every_event() -> None:
+    d = Driver(cancel=False)
+    for obj in range(1, 400):
+        d.ask(obj=obj)
+    assert len(d.router.held) > 200
+    looked = 0
+    whole = d.router._full
+
+    def counted(entry: Open, times: float = 1.0) -> bool:
+        nonlocal looked
+        looked += 1
+        return whole(entry, times)
+
+    d.router._full = counted  # type: ignore[method-assign]
+    d.handle(TimerFired(0))
+    assert looked <= 2
