--- a/hallproxy/logic.py
+++ b/hallproxy/logic.py
@@ -49,8 +49,9 @@
 # Further attempts.
 RETRY_SHARE = 0.25  # further attempts earned by each first one, so that retries never feed a collapse
 RETRY_BURST = 20.0  # further attempts in hand at most, of all a zone's routers
+ERRORS_MOST = 3  # answers 'error' to one request; from then on it is taken to be the request's fault
 SILENT = 2 * SECOND  # ns without one answer after which a member does not count as alive
-SHORTEST = 20 * MS  # ns; with less time left no attempt is sent
+SHORTEST = 2 * MS  # ns past its own sending time; with less time left no attempt is sent
 HOLD_MOST = 500 * MS  # ns a request waits for a usable member
 RETRY_AFTER = 200 * MS  # ns of advice in a refusal
 BOUND_SHARE = 1.5  # a cache may hold this multiple of its zone's mean of attempts out...
@@ -145,6 +146,7 @@
     maybe_ran: tuple[i.Member, int] | None = None  # the first that may have run; when sent
     tried: list[Peer] = field(default_factory=list)
     sources: list[Peer] = field(default_factory=list)
+    errors: int = 0
     done: bool = False
     streams: bool = False
     lookup: bool = False  # the attempt out asks only for what the cache holds
@@ -242,7 +244,9 @@
         self.dense.add(entry.dense)
         if self.s.tells is i.Tells.NONE and self.counts[request.object] * self.zone_routers > 1.0:
             self.gains.add(entry.gain)  # answers never tell which were fills: all but once-only ones count
-        if self._full(entry):
+        if not self._in_time(entry):
+            self._give_up(entry)  # at once: a late refusal costs the client its wait for nothing
+        elif self._full(entry):
             # Departure: with no room for fills, ask the cache only for what it holds. Guards hits against a
             # jam of misses (slow origin or parent, full link, a purge of many); harms if the cache's own link
             # is the jam, so lookups have a bound as well.
@@ -257,7 +261,7 @@
         """Send one attempt if a cache and a source can be had. One is out at a time."""
         request, cls = entry.request, self.s.classes[entry.request.cls]
         left = entry.until - self.now
-        if left < SHORTEST or entry.sent >= self.s.max_attempts:
+        if not self._in_time(entry) or entry.sent >= self.s.max_attempts:
             return False
         write = request.write or cls.write
         cache = self._pick_cache(entry)
@@ -287,6 +291,15 @@
         entry.sources.append(source)
         return True
 
+    def _in_time(self, entry: Open) -> bool:
+        """Whether its bytes could be there before its client leaves; else it is work for nothing."""
+        return entry.until - self.now >= self._sending(entry.request) + SHORTEST
+
+    def _sending(self, request: i.Request) -> int:
+        """The least time (ns) that sending it takes, where its size is told."""
+        told = request.size_kb > 0 and self.s.flow_kb_s > 0 and not request.write
+        return int(request.size_kb / self.s.flow_kb_s * SECOND) if told else 0
+
     def _work(self, request: i.Request) -> float:
         """Seconds that sending it takes at a transfer's full pace; the class's mean where it is not told."""
         if request.size_kb > 0 and self.s.flow_kb_s > 0:
@@ -405,7 +418,7 @@
             if self._full(entry) or not self._attempt(entry):
                 self._hold(entry)
             return
-        if self.now < entry.until and self.retries >= 1.0 and self._attempt(entry):
+        if entry.errors < ERRORS_MOST and self.retries >= 1.0 and self._attempt(entry):
             self.retries -= 1.0
         else:
             self._give_up(entry)
@@ -415,6 +428,9 @@
         status, note = event.status, event.note
         if status in (i.Status.MOOT, i.Status.CANCELLED):
             return
+        entry = self.open[event.request]
+        if status is i.Status.TIMEOUT and event.latency < entry.aim - entry.came:
+            return  # an impatient client's, as in _size_room
         filled = note in (i.Note.FILLED, i.Note.FILLED_BY_ORIGIN)
         if status in (i.Status.OK, i.Status.TIMEOUT) and not filled:
             slow = event.latency / SECOND / (SLOW_BASE + self._work(self.open[event.request].request))
@@ -441,6 +457,10 @@
             return
         if status is i.Status.TIMEOUT and cache.answered > self.now - event.latency:
             return  # it served others meanwhile: slow, not gone. Benching it would move its load to the next
+        if status is i.Status.ERROR:
+            entry.errors += 1
+            if entry.errors > 1:
+                return  # two stores could not use it: it may be the request itself that is wrong
         self._mark(cache, 1.0)
         if source is not cache and self.s.tells is not i.Tells.ALL:
             self._mark(source, 1.0)  # answers do not tell whose fault it was: both, and the medians sort it
@@ -455,6 +475,8 @@
         routers = self.zone_routers  # each outcome seen here stands for as many in the zone
         size = max(1, len(self.caches)) / routers
         self.room = self.room or ROOM_FIRST * size
+        if event.status is i.Status.TIMEOUT and event.latency < entry.aim - entry.came:
+            return  # its client left before it could be late: that says nothing of how full it is here
         if event.status in (i.Status.TIMEOUT, i.Status.FULL):
             self.room *= ROOM_CUT_LOST**routers
         elif event.status is i.Status.OK:
@@ -523,7 +545,14 @@
             return
         waiting = [e for e in map(self.open.get, self.held) if e is not None and not e.done and not e.out]
         waiting.sort(key=lambda e: -e.dense)
-        self.held = deque(e.request.id for e in waiting if self._full(e) or not self._attempt(e))
+        still: list[Open] = []
+        for n, entry in enumerate(waiting):
+            if self._full(entry):  # so it is for all that are worth less; guards CPU in a flood
+                still += waiting[n:]
+                break
+            if not self._attempt(entry):
+                still.append(entry)
+        self.held = deque(e.request.id for e in still)
 
     def _deadlines(self) -> None:
         while self.due and self.due[0][0] <= self.now:
--- a/hallproxy/run/clients.py
+++ b/hallproxy/run/clients.py
@@ -15,8 +15,11 @@
 
 OPEN_MOST = 32  # requests open on one connection
 UNSENT_MOST = 2 * 1024 * 1024  # bytes waiting for a client that does not read; over that it is closed
-
-ALL_UNSENT_MOST = 24 * 1024 * 1024
+WHOLE_IN = 2.0  # s for a first whole frame, and for the rest of each that has begun; a refusal is owed in 3 s
+QUIET_LEAST = 0.5  # s without a request after which a client's connection may be closed for another's
+AT_ONCE = 8  # frames of one connection that are taken before the others have their turn
+FAULTS_MOST = 16  # frames turned away on one connection for what they hold; then it is closed
+READ_MOST = 16_384  # bytes that the buffer grows by at a time, whatever length a frame claims
 
 
 class Connection:
@@ -25,22 +28,32 @@
     def __init__(self, front: Clients, made: Stream) -> None:
         self._front, self._made = front, made
         self.open: dict[int, int] = {}  # stream -> caller
+        self.asked = False  # a whole frame has come
+        self.quiet_since = asyncio.get_running_loop().time()
+        self._faults = 0
         self._told_no_more = False
 
     async def serve(self) -> None:
-        buffer = Buffer(4096)
+        buffer = Buffer(2048)
+        clock = asyncio.get_running_loop().time
+        # Guards against those who connect and say nothing, or begin a frame and never end it. Who has asked
+        # may stay for good.
+        due: float | None = clock() + WHOLE_IN
         try:
             while True:
-                at = 0
-                view = memoryview(buffer.data)[: buffer.filled]
-                while (found := frames.next_frame(view[at:])) is not None:
-                    self._take(found[0])
-                    at += found[1]
-                room = max(2048, frames.needed(view[at:]) - (buffer.filled - at))
-                view.release()
-                del found
+                at, rest = await self._take_all(buffer)
                 buffer.drop(at)
-                await buffer.fill(self._made, room)
+                if at:
+                    due = clock() + WHOLE_IN if rest else None
+                elif rest and due is None:
+                    due = clock() + WHOLE_IN
+                reading = buffer.fill(self._made, min(READ_MOST, max(1024, rest)))
+                if due is None:
+                    await reading
+                else:
+                    await asyncio.wait_for(reading, due - clock())
+        except TimeoutError:
+            self._write(frames.error("no whole frame in time"))
         except frames.FrameError as error:
             self._write(frames.error(str(error)))
         except StreamClosedError:
@@ -54,6 +67,39 @@
             self._front.connections.discard(self)
             self._made.close()
 
+    async def _take_all(self, buffer: Buffer) -> tuple[int, int]:
+        """Take all whole frames: how many bytes they were, and how many the next one still wants."""
+        at = 0
+        found: list[frames.Frame] = []
+        with memoryview(buffer.data) as data, data[: buffer.filled] as view:
+            while (one := frames.next_frame(view[at:])) is not None:
+                found.append(one[0])
+                at += one[1]
+            rest = frames.needed(view[at:]) - (buffer.filled - at) if at < buffer.filled else 0
+            # What is taken back in the same breath is never begun: hundreds at once must cost nothing.
+            back = {f.stream for f in found if f.kind == frames.LEFT}
+            if back:
+                back -= self.open.keys()
+            for n, frame in enumerate(found):
+                if n and n % AT_ONCE == 0:
+                    await asyncio.sleep(0)
+                    if self._made.closed():
+                        raise StreamClosedError()
+                if frame.stream not in back:
+                    self._take(frame)
+            if found:
+                self.asked = True
+                self.quiet_since = asyncio.get_running_loop().time()
+            for frame in found:
+                frame.payload.release()  # the buffer can't be resized while a view of it is about
+        return at, rest
+
+    def _fault(self, pieces: list[bytes]) -> None:
+        self._write(pieces)
+        self._faults += 1
+        if self._faults >= FAULTS_MOST:
+            raise frames.FrameError("too many requests that can't be used")
+
     def _take(self, frame: frames.Frame) -> None:
         stream_id = frame.stream
         if frame.kind == frames.ASK:
@@ -62,13 +108,13 @@
                 raise frames.FrameError(f"stream {stream_id} is not new")
             if len(self.open) >= OPEN_MOST:
                 # Closing would cost the client all that is open; a plain no costs it this one.
-                return self._write(frames.answer(stream_id, Answer(Verdict.REFUSED, retry_after=BUSY_RETRY)))
+                return self._fault(frames.answer(stream_id, Answer(Verdict.REFUSED, retry_after=BUSY_RETRY)))
             try:
                 asked = frames.read_request(
                     frame.payload, self._front.classes, self._front.loop.state.settings
                 )
             except frames.FieldError as error:
-                return self._write(frames.error(str(error), stream_id))
+                return self._fault(frames.error(str(error), stream_id))
             caller = self._front.loop.caller(lambda answer: self._answer(stream_id, answer))
             self.open[stream_id] = caller
             self._front.loop.bring(Arrived(self._front.loop.now(), caller, asked))
@@ -96,6 +142,10 @@
         except StreamClosedError:
             pass  # the reader ends the connection
 
+    def close(self) -> None:
+        self._front.connections.discard(self)
+        self._made.close()
+
     @property
     def unsent(self) -> int:
         return self._made.unsent
@@ -108,21 +158,32 @@
 
 
 class Clients:
-    def __init__(self, loop: Loop, most: int) -> None:
+    def __init__(self, loop: Loop) -> None:
         self.loop = loop
         self.classes = {c.name: n for n, c in enumerate(loop.state.settings.classes)}
         self.connections: set[Connection] = set()
         self.stopping = False
         self.asked_at = 0.0  # when the last request or connection came
-        self.most = most
         self._tasks: set[asyncio.Task[None]] = set()
 
     def over(self) -> bool:
         """Whether all clients together leave more unread than there is memory for."""
-        return sum(c.unsent for c in self.connections) > ALL_UNSENT_MOST
+        return sum(c.unsent for c in self.connections) > self.loop.state.bounds.unsent
+
+    def _make_room(self) -> bool:
+        """Close one that has nothing open: first who never said anything, then who has been quiet longest."""
+        free = [c for c in self.connections if not c.open and not c.unsent]
+        longest = min(free, key=lambda c: (c.asked, c.quiet_since), default=None)
+        if longest is None or (longest.asked and self._now() - longest.quiet_since < QUIET_LEAST):
+            return False
+        longest.close()
+        return True
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
 
     def accept(self, sock: socket.socket, _: object) -> None:
-        if len(self.connections) >= self.most:
+        if len(self.connections) >= self.loop.state.bounds.callers and not self._make_room():
             # Guards the descriptors: the front keeps to a third of them, so this is no client of ours.
             sock.close()
             return
--- a/hallproxy/run/main.py
+++ b/hallproxy/run/main.py
@@ -25,15 +25,15 @@
 from hallproxy.run.loop import Loop, say
 from hallproxy.run.signals import Signals
 from hallproxy.run.stores import HttpStores
-from hallproxy.state.bounds import Bounds
+from hallproxy.state.bounds import MB, Bounds
 from hallproxy.state.events import NewsHeard, Reconfigured
 from hallproxy.state.model import State
 from hallproxy.wire.changelog import ChangeError
 from hallproxy.wire.stores import Platform
 
 RESERVE = 48  # descriptors for the listener, the change log, the log and what is just being closed
-OTHER_MB = 96  # of the memory limit that own copies leave to all else; a quarter of the rest is slack
-BODIES_MB = 32  # bodies that are being read from stores
+BASE = 24 * MB  # what the program takes with nothing to do, and its slack
+CALL = 16 * 1024  # bytes that an open request is taken to hold, its body and its attempts included
 ACCEPT_FOR = 0.8  # s after SIGTERM in which new connections and requests may still come
 NO_MORE_AFTER = 0.45  # s after SIGTERM at which clients are told, once the front has turned away
 QUIET_FOR = 0.3  # s without a new request or connection before the end
@@ -41,12 +41,20 @@
 
 
 def bounds(config: Config) -> Bounds:
+    """Parts of the limits. Copies stay well under the fifth of the memory that may come and go."""
     idle_close = config.settings.idle_close
+    memory = config.memory_mb * MB
+    spare = max(4 * MB, memory - BASE)
+    callers = config.sockets * 2 // 5
     return Bounds(
-        links=max(8, config.sockets - config.sockets * 2 // 5 - RESERVE),
+        callers=callers,
+        links=max(8, config.sockets - callers - RESERVE),
+        calls=min(4_000, spare // CALL),
+        bodies=spare // 4,
+        unsent=spare // 5,
         # Closed here before the store does it: a request must not meet a connection being closed.
         idle=max(SECOND, idle_close - 3 * SECOND) if idle_close else 10 * SECOND,
-        copies=max(0, config.memory_mb - OTHER_MB) * 1024 * 1024 * 3 // 4,
+        copies=min(memory * 3 // 20, spare // 3),
         flow=config.flow,
         uplink=config.link,
     )
@@ -55,13 +63,13 @@
 async def serve(config: Config, signals: Signals) -> None:
     loop = Loop(State(config.settings, Router(config.settings, config.seed), bounds(config)))
     speech = Platform(config.settings)
-    loop.stores = HttpStores(loop, speech, BODIES_MB * 1024 * 1024)
+    loop.stores = HttpStores(loop, speech)
     since, told = config.first_events(loop.now())
     for event in told:
         loop.bring(event)
     if config.changelog is not None:
         loop.bring(NewsHeard(loop.now()))
-    clients = Clients(loop, clients_most(config))
+    clients = Clients(loop)
     host, port = config.listen
     listeners = bind_sockets(port, host, backlog=512)
     stops: list[Callable[[], None]] = [add_accept_handler(sock, clients.accept) for sock in listeners]
@@ -85,7 +93,6 @@
         check(new.settings)
         speech.settings = new.settings
         loop.bring(Reconfigured(loop.now(), new.settings, bounds(new)))
-        clients.most = clients_most(new)
         if poller is not None and new.changelog is not None:
             poller.move(new.changelog, new.known)
 
@@ -100,10 +107,6 @@
         task.cancel()
 
 
-def clients_most(config: Config) -> int:
-    return config.sockets * 2 // 5
-
-
 async def drain(clients: Clients, loop: Loop) -> None:
     """After SIGTERM: take what still comes, answer all of it, then return.
 
--- a/hallproxy/run/repository_main.py
+++ b/hallproxy/run/repository_main.py
@@ -19,7 +19,7 @@
 from hallproxy.run.repository_config import RepositoryConfig, load
 from hallproxy.run.signals import Signals
 from hallproxy.run.stores import HttpStores
-from hallproxy.state.bounds import Bounds
+from hallproxy.state.bounds import MB, Bounds
 from hallproxy.state.events import ContractsTold, MembersTold, NewsHeard, Reconfigured
 from hallproxy.state.model import State
 from hallproxy.wire.simple import Upstream
@@ -27,7 +27,6 @@
 CONNECTIONS = 256
 SECOND = 1_000_000_000
 LOOK_EVERY = 0.1  # s between looks at the applied contracts
-BODIES = 64 * 1024 * 1024  # bytes of bodies being read from upstream
 STOP_IN = 10.0  # s after SIGTERM by which what is open is cut
 
 
@@ -38,6 +37,7 @@
         calls=CONNECTIONS,
         idle=config.settings.idle_close or 10 * SECOND,
         copies=config.copies_most,
+        bodies=64 * MB,
     )
 
 
@@ -58,7 +58,7 @@
 async def serve(path: Path, config: RepositoryConfig, signals: Signals) -> None:
     loop = Loop(new_state(config))
     upstream = Upstream(config.file_most, (where for _, where in config.upstreams))
-    loop.stores = HttpStores(loop, upstream, BODIES)
+    loop.stores = HttpStores(loop, upstream)
     loop.bring(_members(config, loop.now()))
     front = Repository(loop, CONNECTIONS)
     contracts = Watch(config.contracts, loop, front) if config.contracts is not None else None
--- a/hallproxy/run/sockets.py
+++ b/hallproxy/run/sockets.py
@@ -5,7 +5,7 @@
 import asyncio
 import socket
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from tornado.iostream import IOStream, StreamClosedError
 
@@ -56,13 +56,13 @@
 class Budget:
     """Bytes of bodies that may be held at once. Who finds no room waits, and so does its sender."""
 
-    def __init__(self, most: int) -> None:
-        self._most = most
+    def __init__(self, most: Callable[[], int]) -> None:
+        self._most = most  # asked each time: a reload may change it
         self._held = 0
         self._waiting: deque[asyncio.Future[None]] = deque()
 
     async def take(self, size: int) -> None:
-        while self._held and self._held + size > self._most:
+        while self._held and self._held + size > self._most():
             waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
             self._waiting.append(waiter)
             await waiter
--- a/hallproxy/run/stores.py
+++ b/hallproxy/run/stores.py
@@ -31,9 +31,9 @@
 class HttpStores:
     """Carries the reducer's orders over HTTP/1.1."""
 
-    def __init__(self, loop: Loop, speech: Speech, memory: int) -> None:
+    def __init__(self, loop: Loop, speech: Speech) -> None:
         self._loop = loop
-        self._budget = Budget(memory)
+        self._budget = Budget(lambda: loop.state.bounds.bodies)
         self._speech = speech
         self._orders: dict[int, tuple[Order, int]] = {}  # by link: the last one sent, and when
         self._streams: dict[int, Stream] = {}
@@ -73,6 +73,8 @@
 
     async def _serve(self, link: int, made: Stream, host: str) -> None:
         try:
+            if link not in self._streams:
+                return  # taken back before its turn came
             await made.connect(address(host))
             self._loop.bring(LinkUp(self._loop.now(), link))
             buffer = Buffer()
--- a/hallproxy/state/bounds.py
+++ b/hallproxy/state/bounds.py
@@ -4,11 +4,16 @@
 
 from dataclasses import dataclass
 
+MB = 1024 * 1024
+
 
 @dataclass(slots=True, frozen=True)
 class Bounds:
     links: int = 400  # connections to stores
+    callers: int = 250  # clients' connections
     calls: int = 1_000  # requests open at once
+    bodies: int = 32 * MB  # bytes of bodies that are being read from stores
+    unsent: int = 24 * MB  # bytes that all clients together leave unread
     idle: int = 10**10  # ns; how long an idle connection to a store is kept
     copies: int = 0  # bytes of own copies
     flow: int = 0  # bytes a second of one transfer of an own copy; 0: not told
--- a/hallproxy/state/calls.py
+++ b/hallproxy/state/calls.py
@@ -31,6 +31,10 @@
         busy = Answer(Verdict.REFUSED, retry_after=BUSY_RETRY, reason=Reason.BUSY)
         state.effects.append(Reply(event.caller, busy))
         return
+    if asked.label and asked.label in state.labels:
+        # Ids are new with every request: stores would take the second one for the first.
+        state.effects.append(Reply(event.caller, Answer(Verdict.FAILED, reason=Reason.ERROR)))
+        return
     own = own_copy(state, asked, OWN_BY, asked.left)
     if own is not None:
         _spend(state, asked, own)
@@ -38,6 +42,7 @@
         state.told.append(i.Seen(asked.object))
         return
     call = Call(state.number(), event.caller, asked, state.now)
+    state.labels.add(asked.label)
     state.calls[call.ident] = state.callers[event.caller] = call
     state.effects.append(Wake(CallDue(state.now + asked.left, call.ident)))
     state.told.append(
@@ -163,3 +168,4 @@
 def forget(state: State, call: Call) -> None:
     if call.answered and not call.attempts:
         state.calls.pop(call.ident, None)
+        state.labels.discard(call.asked.label)
--- a/hallproxy/state/model.py
+++ b/hallproxy/state/model.py
@@ -70,6 +70,7 @@
     members: Members = field(default_factory=Members)
     purges: Purges = field(default_factory=Purges)
     calls: dict[int, Call] = field(default_factory=dict)
+    labels: set[str] = field(default_factory=set)  # of the calls, where they have one
     callers: dict[int, Call] = field(default_factory=dict)  # those owed an answer, by the front's handle
     attempts: dict[int, Attempt] = field(default_factory=dict)
     links: dict[int, Link] = field(default_factory=dict)
--- a/hallproxy/wire/frames.py
+++ b/hallproxy/wire/frames.py
@@ -12,12 +12,16 @@
 HEAD = struct.Struct(">IBI")  # length (of all that follows it), type, stream
 SIZE = struct.Struct(">I")
 SHORTEST, LONGEST = 5, 262_144
+ASKED_LONGEST = 65_536  # bytes of a client's frame: its body and all that fields can usefully say
 BODY_MOST = 48_000  # bytes that one write carries
 ASK, ANSWER, LEFT, IS_READY, READINESS, NO_MORE = 65, 66, 67, 80, 81, 90
 SERVED, REFUSED, FAILED = 79, 66, 69
+SIZE_MOST = 1e6  # KB of a part
+PART_MOST = 65_535
+TTL_OVER = 4  # times the class's deadline that a client may wait at most
 CODES = {Verdict.SERVED: SERVED, Verdict.REFUSED: REFUSED, Verdict.FAILED: FAILED}
 MS = 1_000_000
-WAY = 20 * MS  # ns of a client's wait that pass on the way here and back: it counts from when it sent
+WAY = 4 * MS  # ns of a client's wait that pass on the way here and back: it counts from when it sent
 
 
 class FrameError(ValueError):
@@ -40,7 +44,7 @@
     if len(buffer) < SIZE.size:
         return None
     (length,) = SIZE.unpack_from(buffer)
-    if not SHORTEST <= length <= LONGEST:
+    if not SHORTEST <= length <= ASKED_LONGEST:
         raise FrameError(f"a frame of {length} bytes")
     end = SIZE.size + length
     if len(buffer) < end:
@@ -114,7 +118,7 @@
         size = float(fields.get("heap", "0"))
     except ValueError:
         size = -1.0
-    if not 0 <= size < 1e9:  # also turns nan away
+    if not 0 <= size <= SIZE_MOST:  # also turns nan away
         raise FieldError("heap is not a size")
     if len(body) > BODY_MOST:
         raise FieldError(f"a body of more than {BODY_MOST} bytes")
@@ -122,17 +126,21 @@
     held = fields.get("got", "")
     if not _is_token(key) or not _is_token(held):
         raise FieldError("dedupe or got holds what no header can")
+    kind = settings.classes[cls]
+    if kind.effect is i.Effect.KEYED and not key:
+        raise FieldError("dedupe is missing: without it this class can't be repeated")
+    ttl = _number(fields, "ttl", 1, TTL_OVER * kind.deadline // MS)
     return Asked(
         label=call,
         cls=cls,
-        left=max(0, _number(fields, "ttl", 0, 3_600_000) * MS - WAY),
+        left=max(0, ttl * MS - WAY),
         object=_hex(row, 16, "row"),
         name=row,
-        part=_number(fields, "nth", 0, 10**9),
+        part=_number(fields, "nth", 0, PART_MOST),
         group=_number(fields, "batch", 0, 255),
         size_kb=size,
         repeat=fields.get("rep") == "1",
-        write=settings.classes[cls].write,
+        write=kind.write,
         key=key,
         held=held,
         body=bytes(body),
