Spoilt answers cut off early; no attempt goes out on a connection found dead

The second front gave silent connections 30 s; it shares the rest.

Checked: each case has a test that stands in for such a store.

--- a/hallproxy/run/repository.py
+++ b/hallproxy/run/repository.py
@@ -28,7 +28,8 @@
 
 SECOND = 1_000_000_000
 SLACK = SECOND // 20  # ns kept back of a deadline for writing the answer
-IDLE = 30.0  # s that a connection waits for its next request, and for the rest of a head
+IDLE = 30.0  # s that a connection waits for its next request, and for the rest of its head
+FIRST_IN = 5.0  # s for a connection's first whole head: who says nothing must not hold a place
 UNSENT_MOST = 96 * 1024 * 1024  # bytes waiting for slow clients, all together
 WRITE = 60.0  # s for a client to take an answer
 PHRASES = {
@@ -102,16 +103,16 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _serve(self, made: Stream) -> None:
-        reader = _Reader(made)
+        reader, wait = _Reader(made), FIRST_IN
         try:
             while True:
                 try:
-                    head = await asyncio.wait_for(reader.head(), IDLE)
+                    head = await asyncio.wait_for(reader.head(), wait)
                     if head.chunked or head.length:
                         raise HttpError("a request with a body")
                 except HttpError as error:
                     return await self._write(made, plain(400, str(error)), False, False)
-                self.busy += 1
+                self.busy, wait = self.busy + 1, IDLE
                 try:
                     response = await self._answer_or_leave(reader, head)
                     keeps = head.keeps and not self.stopping
--- a/hallproxy/run/sockets.py
+++ b/hallproxy/run/sockets.py
@@ -20,6 +20,18 @@
         """Bytes that the other side has not taken yet."""
         return len(self._write_buffer)
 
+    def stale(self) -> bool:
+        """Whether the other side has closed, or has sent something that nobody has read yet."""
+        if self.closed():
+            return True
+        try:
+            self.socket.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            return True
+        return True
+
     def gather(self, pieces: Sequence[bytes]) -> None:
         """Write the pieces in their order: in one system call where the socket takes them.
 
--- a/hallproxy/run/stores.py
+++ b/hallproxy/run/stores.py
@@ -16,6 +16,8 @@
 from hallproxy.wire.http1 import Head, HttpError, chunk_size, response_head
 
 CHUNKED = 1024 * 1024  # bytes that a body of untold length is taken to hold
+INTERIM_MOST = 8  # heads ahead of a final answer's, that one included
+FRAMING_MOST = 32_768  # bytes of a chunked body that are none of its own
 
 
 class Speech(Protocol):
@@ -57,6 +59,10 @@
         if made is None:
             return  # it has just broken: its LinkDown is on the way
         order = effect.order
+        if made.stale():
+            # Closed, reset or spoken on while it idled: nothing has gone out, so it may go elsewhere.
+            self.close(link)
+            return self._loop.bring(LinkDown(self._loop.now(), link, unused=True))
         self._orders[link] = order, self._loop.now()
         head = self._speech.head(order, self._hosts[link])
         try:
@@ -94,6 +100,11 @@
 
     async def _one(self, link: int, made: Stream, buffer: Buffer) -> bool:
         """Bring one answer; false: nobody waits for it any more."""
+        if not buffer.filled:
+            await buffer.fill(made, 2048)
+        if link not in self._orders:
+            # What follows would be taken for the next answer. Guards against bytes behind a good one.
+            raise HttpError("bytes that nobody asked for")
         head = await read_head(made, buffer)
         size = min(CHUNKED if head.length is None else head.length, self._speech.most)
         await self._budget.take(size)
@@ -114,10 +125,16 @@
 
 
 async def read_head(made: Stream, buffer: Buffer) -> Head:
-    while (head := response_head(buffer.data, buffer.filled)) is None:
-        await buffer.fill(made, 2048)
-    buffer.drop(head.size)
-    return head
+    """The final answer's head; those of 1xx ahead of it are passed over."""
+    for _ in range(INTERIM_MOST):
+        while (head := response_head(buffer.data, buffer.filled)) is None:
+            await buffer.fill(made, 2048)
+        buffer.drop(head.size)
+        if head.status >= 200:
+            return head
+        if head.status == 101:
+            break
+    raise HttpError("interim answers and no final one")
 
 
 async def read_body(made: Stream, buffer: Buffer, head: Head, most: int) -> bytes:
@@ -135,18 +152,22 @@
         return bytes(body)
     if not head.chunked:
         raise HttpError("a body without a length")
-    parts: list[bytes] = []
-    size = 0
-    while length := chunk_size(await _line(made, buffer)):
-        size += length
-        if size > most:
+    body = bytearray()
+    framing = 0  # bytes of chunk sizes and trailers: they must not go on for ever either
+    while length := chunk_size(line := await _line(made, buffer)):
+        framing += len(line)
+        if len(body) + length > most:
             raise HttpError(f"a body of over {most} bytes")
-        parts.append(await _take(made, buffer, length))
+        body += await _take(made, buffer, length)
         if await _line(made, buffer):
             raise HttpError("a chunk longer than it says")
-    while await _line(made, buffer):
-        pass  # trailers
-    return b"".join(parts)
+        if framing > FRAMING_MOST:
+            raise HttpError("chunks that hold next to nothing")
+    while line := await _line(made, buffer):  # trailers
+        framing += len(line)
+        if framing > FRAMING_MOST:
+            raise HttpError("trailers without end")
+    return bytes(body)
 
 
 async def _line(made: Stream, buffer: Buffer) -> bytes:
--- a/hallproxy/state/contracts.py
+++ b/hallproxy/state/contracts.py
@@ -47,6 +47,11 @@
 
     spent: dict[tuple[str, str, str], _Spent] = field(default_factory=dict)
 
+    def prune(self, contracts: Contracts) -> None:
+        """Forget what is in force no more."""
+        keys = {c.key for c in contracts.held}
+        self.spent = {key: spent for key, spent in self.spent.items() if key in keys}
+
     def _window(self, contract: Contract, now: int) -> _Spent:
         spent = self.spent.get(contract.key)
         if spent is None or now - spent.since >= contract.window:
--- a/hallproxy/state/events.py
+++ b/hallproxy/state/events.py
@@ -91,10 +91,11 @@
 
 @dataclass(slots=True, frozen=True)
 class LinkDown:
-    """A connection never came up, broke or was closed by the other side."""
+    """A connection never came up, broke or was closed; ``unused``: nothing went out on it."""
 
     at: int
     link: int
+    unused: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/hallproxy/state/links.py
+++ b/hallproxy/state/links.py
@@ -38,6 +38,11 @@
         link = idle.pop()
         link.attempt, one.link = one, link.ident
         return _send(state, link, one)
+    _connect(state, one)
+
+
+def _connect(state: State, one: Attempt) -> None:
+    get = one.get
     if len(state.links) >= state.bounds.links and not _make_room(state):
         return _over(state, one, i.Status.MOOT)
     link = Link(state.number(), get.server, one)
@@ -51,7 +56,7 @@
     link = state.links.get(ident)
     if link is not None and not link.up:
         link.up = True
-        state.heard[link.store] = state.now
+        _alive(state, link.store)
         if link.attempt is not None:
             _send(state, link, link.attempt)
 
@@ -102,7 +107,7 @@
     if link is None:
         return
     one = link.attempt
-    state.heard[link.store] = state.now
+    _alive(state, link.store)
     # An answer that nobody asked for: what comes next on that connection would be taken for another's.
     _free(state, link, event.reusable and one is not None)
     if one is None:
@@ -116,15 +121,18 @@
     _over(state, one, result.status, result)
 
 
-def down(state: State, ident: int) -> None:
+def down(state: State, ident: int, unused: bool = False) -> None:
     """A refused connect proves that nothing ran; a break after the first byte proves nothing."""
     link = state.links.get(ident)
     if link is None:
         return
     one, was_up = link.attempt, link.up
     _free(state, link, False)
-    if one is not None:
-        _over(state, one, i.Status.RESET if was_up else i.Status.CONNECT_FAILED)
+    if one is not None and unused and state.members.ready(link.store):
+        one.written = False
+        _connect(state, one)  # the store itself may be well: its idle connection was not
+    elif one is not None:
+        _over(state, one, i.Status.RESET if was_up and not unused else i.Status.CONNECT_FAILED)
 
 
 def cancel(state: State, request: int, number: int) -> None:
@@ -172,6 +180,11 @@
                 _abandon(state, one, i.Status.RESET)
 
 
+def _alive(state: State, store: bytes) -> None:
+    if store in state.members.known:  # what has left the list is not to be remembered
+        state.heard[store] = state.now
+
+
 def drop_idle(state: State, store: bytes) -> None:
     """The store's process is another one now, or none: its idle connections lead nowhere."""
     for link in list(state.idle.get(store, ())):
--- a/hallproxy/state/reducer.py
+++ b/hallproxy/state/reducer.py
@@ -9,6 +9,7 @@
 
 from hallproxy import interface as i
 from hallproxy.state import calls, links
+from hallproxy.state.contracts import Contracts
 from hallproxy.state.effects import Effect, Say, Wake
 from hallproxy.state.events import (
     Answered,
@@ -43,7 +44,7 @@
         case LinkUp():
             links.up(state, event.link)
         case LinkDown():
-            links.down(state, event.link)
+            links.down(state, event.link, event.unused)
         case AttemptDue():
             links.attempt_due(state, event.attempt)
         case CallDue():
@@ -60,6 +61,7 @@
             state.heard_at = max(state.heard_at, event.at)
         case ContractsTold():
             state.contracts = event.contracts
+            state.use.prune(event.contracts or Contracts())
         case Reconfigured():
             _reconfigured(state, event)
     _consult(state)
--- a/hallproxy/wire/frames.py
+++ b/hallproxy/wire/frames.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import struct
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -21,6 +22,7 @@
 TTL_OVER = 4  # times the class's deadline that a client may wait at most
 CODES = {Verdict.SERVED: SERVED, Verdict.REFUSED: REFUSED, Verdict.FAILED: FAILED}
 MS = 1_000_000
+_TOKEN = re.compile(r"[0-9A-Za-z._~:+/=-]{1,128}")
 WAY = 4 * MS  # ns of a client's wait that pass on the way here and back: it counts from when it sent
 
 
@@ -148,7 +150,7 @@
 
 
 def _is_token(text: str) -> bool:
-    return len(text) <= 256 and all("!" <= c <= "~" for c in text)
+    return not text or _TOKEN.fullmatch(text) is not None
 
 
 def answer(stream: int, said: Answer) -> list[bytes]:
--- a/hallproxy/wire/stores.py
+++ b/hallproxy/wire/stores.py
@@ -5,7 +5,7 @@
 from hallproxy import interface as i
 from hallproxy.state.effects import Order
 from hallproxy.state.events import Result
-from hallproxy.wire.http1 import Head
+from hallproxy.wire.http1 import Head, HttpError
 
 MS = 1_000_000
 MOST = 300_000  # bytes of an object's part; over that the answer is not taken in
@@ -54,7 +54,7 @@
             body,
             head.status == 304,
             head.fields.get("etag", "").strip('"'),
-            int(born) * MS if born.isascii() and born.isdigit() else 0,
+            int(born) * MS if born.isascii() and born.isdigit() and len(born) < 16 else 0,
             load,
         )
     no_effect = head.fields.get("x-no-effect") == "1"
@@ -80,7 +80,9 @@
     def head(self, order: Order, host: str) -> bytes:
         return order_head(order, host, self.settings)
 
-    def read(self, _order: Order, head: Head, body: bytes, _sent_at: int) -> Result:
+    def read(self, order: Order, head: Head, body: bytes, _sent_at: int) -> Result:
+        if head.status == 304 and not order.held:
+            raise HttpError("an answer 'unchanged' to a request that named no copy")
         return read_answer(head, body, self.settings)
 
 
--- /dev/null
+++ b/tests/test_garble.py
@@ -0,0 +1,148 @@
+"""Stores whose answers are spoilt, or bring more than belongs to them, on real sockets."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from hallproxy.wire import frames
+from tests.gateway import Client, Http, Listener, Platform, member, ok, read_request, response, until
+
+SERVED, REFUSED, FAILED = frames.SERVED, frames.REFUSED, frames.FAILED
+GOOD = response(200, b"bytes", ETag="t1", X_Born_Ms="1")
+EARLY = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+
+
+class Raw:
+    """A store that writes what it is told, as it is, and keeps the connection open."""
+
+    def __init__(self, *said: bytes, endless: bytes = b"") -> None:
+        self.said, self.endless = list(said), endless
+        self.requests = 0
+        self.ended = threading.Event()  # the gateway has closed the first connection
+        self.listener = Listener(self._serve)
+        self.address = self.listener.address
+
+    def _serve(self, made: socket.socket) -> None:
+        file = made.makefile("rb")
+        try:
+            while read_request(file) is not None:
+                self.requests += 1
+                spoilt = len(self.said) > 0
+                made.sendall(self.said.pop(0) if spoilt else GOOD)
+                while spoilt and self.endless:
+                    made.sendall(self.endless)
+        finally:
+            self.ended.set()
+
+
+@pytest.fixture
+def made(tmp_path: Path) -> Iterator[list[Platform]]:
+    started: list[Platform] = []
+    yield started
+    for platform in started:
+        if platform.program.process.poll() is None:
+            platform.program.process.kill()
+        platform.program.wait()
+
+
+def start(made: list[Platform], path: Path, store: Any) -> tuple[Platform, Client]:
+    platform = Platform(path, caches=[store], limits={"memory_mb": 64, "sockets": 256}).start()
+    made.append(platform)
+    return platform, platform.client()
+
+
+def rows(client: Client, count: int) -> list[tuple[int, bytes]]:
+    told = []
+    for row in range(1, count + 1):
+        client.ask(op="small", row=row)
+        code, _, body = client.answer()
+        told.append((code, body))
+    return told
+
+
+def test_interim_answers_ahead_are_passed_over(made: list[Platform], tmp_path: Path) -> None:
+    store = Raw(EARLY + GOOD)
+    _, client = start(made, tmp_path, store)
+    assert rows(client, 2) == [(SERVED, b"bytes")] * 2
+    assert store.requests == 2 and len(store.listener.connections) == 1
+
+
+@pytest.mark.parametrize("behind", [GOOD.replace(b"bytes", b"other"), b"noise", b"HTTP/1.1 200 OK\r\n"])
+def test_bytes_behind_an_answer_are_never_the_next_ones(
+    made: list[Platform], tmp_path: Path, behind: bytes
+) -> None:
+    store = Raw(GOOD + behind)
+    _, client = start(made, tmp_path, store)
+    assert rows(client, 3) == [(SERVED, b"bytes")] * 3
+    assert store.requests == 3 and len(store.listener.connections) == 2
+
+
+def test_bytes_that_come_while_a_connection_idles_end_it_and_cost_no_attempt(
+    made: list[Platform], tmp_path: Path
+) -> None:
+    store = Raw()
+    _, client = start(made, tmp_path, store)
+    client.ask(op="once", row=1)  # a class that may not run twice: the next must not be sent on it at all
+    assert client.answer()[0] == SERVED
+    store.listener.connections[0].sendall(b"late noise")
+    assert store.ended.wait(5)
+    client.ask(op="once", row=2)
+    assert client.answer()[0] == SERVED
+    assert store.requests == 2
+
+
+@pytest.mark.parametrize(
+    ("spoilt", "endless"),
+    [
+        (b"\x00\xff noise\r\n\r\n", b""),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nbytes", b""),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nbytes", b""),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n", b"x" * 65_536),
+        (b"HTTP/1.1 200 OK\r\nX-Endless: ", b"x" * 65_536),
+        (b"HTTP/1.1 200 OK\r\n", b"X-More: and more\r\n" * 1_000),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"1;" + b"e" * 4_000 + b"\r\nx\r\n"),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", b"X-Trailer: x\r\n" * 100),
+        (b"", EARLY * 100),
+        (b"HTTP/1.1 304 Not Modified\r\nETag: t1\r\n\r\n", b""),
+    ],
+)
+def test_spoilt_answers_are_cut_off_at_once_and_have_run(
+    made: list[Platform], tmp_path: Path, spoilt: bytes, endless: bytes
+) -> None:
+    """The request is tried again where its class allows, long before its time is up; else it has failed."""
+    store = Raw(spoilt, spoilt, endless=endless)
+    platform, client = start(made, tmp_path, store)
+    began = time.monotonic()
+    client.ask(op="once", ttl="3000")
+    assert client.answer()[0] == FAILED and store.requests == 1
+    assert store.ended.wait(5)
+    client.ask(op="small", row=2, ttl="3000")
+    assert client.answer()[::2] == (SERVED, b"bytes") and store.requests == 3
+    assert time.monotonic() - began < 2
+    assert not [x for x in platform.program.lines if "fault" in x]
+
+
+def test_stores_that_come_and_go_leave_nothing_behind(made: list[Platform], tmp_path: Path) -> None:
+    """A new id at an address used before, again and again: descriptors stay as they were."""
+    store = Http(ok())
+    platform, client = start(made, tmp_path, store)
+
+    def descriptors() -> int:
+        return len(list(Path(f"/proc/{platform.program.process.pid}/fd").iterdir()))
+
+    assert rows(client, 1) == [(SERVED, b"bytes")]
+    before = descriptors()
+    for n in range(30):
+        lines = [member(f"s-{n}", store.address, "std", "Gone"), member(f"s-{n + 1}", store.address, "std")]
+        platform.tell(fleet={"generation": n + 2, "reset": False, "instances": lines})
+        client.ask(op="small", row=100 + n)
+        assert client.answer()[0] == SERVED
+    until(lambda: descriptors() <= before + 2)
+    assert len(store.seen) == 31
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -8,6 +8,7 @@
 import json
 import os
 import re
+import signal
 import socket
 import subprocess
 import sys
@@ -469,3 +470,47 @@
         [sys.executable, "-m", "hallproxy", "repository", str(path)], cwd=ROOT, capture_output=True, text=True
     )
     assert ran.returncode == 1 and says in ran.stderr and ran.stderr.count("\n") == 1, ran.stderr
+
+
+def test_a_connection_that_never_sends_a_whole_head_is_closed(front: Front) -> None:
+    front.start()
+    began = time.monotonic()
+    with socket.create_connection(("127.0.0.1", front.program.port)) as silent:
+        silent.sendall(b"GET /simple/ HTTP/1.1\r\nHost: x\r\n")
+        silent.settimeout(10)
+        assert silent.recv(100) == b""
+    assert time.monotonic() - began < 8
+    assert front.urls()
+
+
+@pytest.mark.parametrize("early", [b"HTTP/1.1 103 Early Hints\r\n\r\n", b""])
+def test_upstream_answers_with_more_than_belongs_to_them(front: Front, early: bytes) -> None:
+    stand = front.stands[0]
+    whole = stand.http.reply
+    stand.http.reply = lambda seen: early + (whole(seen) or b"") + (b"" if early else b"noise behind")
+    front.start()
+    for name, url in front.urls().items():
+        got = front.get(url)
+        assert got.status == 200 and got.body == stand.files[name]
+
+
+def test_sighup_reads_the_deploy_file_anew(front: Front) -> None:
+    front.start()
+    front.urls()
+    purged = front.purge()
+    new = ChangeLog()
+    new.events = [*front.log.events]
+    path = front.path / "repository.toml"
+    text = path.read_text()
+    path.write_text("listen = ")
+    front.program.process.send_signal(signal.SIGHUP)
+    until(lambda: any("stays as it was" in x for x in front.program.lines))
+    fresh = Stand()
+    fresh.files = {"other-1.0.tar.gz": b"other"}
+    text = text.replace(front.log.address, new.address)
+    path.write_text(text.replace(front.stands[0].http.address, fresh.http.address))
+    front.program.process.send_signal(signal.SIGHUP)
+    until(lambda: 1 in new.polled)
+    seq = new.add(invalidate={"object": f"{simple.object_id(PROJECT):016x}", "time": purged + 1})
+    until(lambda: new.heard(seq))
+    assert list(front.urls()) == ["other-1.0.tar.gz"]
