A broken connection asks the same cache once more and hardly benches it

Each reset also refilled the part at another cache. Faulty lines: logic.py _judge (a reset counted against the source too, like an error) and _outcome (the next attempt went to a cache not tried yet). Ruled out: refused connects (29 of 10,900), full stores. Traced what counts against whom: with the smaller weight one refused connect still benched (0.10 + 0.27), so its weight is 0.2, two in a row as before.

--- a/hallproxy/logic.py
+++ b/hallproxy/logic.py
@@ -38,7 +38,8 @@
 # Health.
 SMOOTH = 0.1  # weight of a new first-byte time in the smoothed one
 FAIL_SMOOTH = 0.15  # weight of one outcome in the smoothed share of failures...
-DEAD_SMOOTH = 0.3  # ...and of a connect that failed, so that two in a row bench
+DEAD_SMOOTH = 0.2  # ...and of a connect that failed, so that two in a row bench
+RESET_SMOOTH = 0.05  # ...and of a connection that broke, so that only breaks again and again bench
 SLOW_SMOOTH = 0.03  # weight of one answer in a cache's smoothed time over sending time
 SLOW_BASE = 0.05  # s added to a sending time, so that the way there does not count for small objects
 SLOW_FROM = 1.5  # times the median of its like from which a slow cache's weight falls in proportion
@@ -147,6 +148,7 @@
     tried: list[Peer] = field(default_factory=list)
     sources: list[Peer] = field(default_factory=list)
     errors: int = 0
+    reset: bool = False  # an attempt's connection broke: its cache was asked once more
     done: bool = False
     streams: bool = False
     lookup: bool = False  # the attempt out asks only for what the cache holds
@@ -418,6 +420,12 @@
             if self._full(entry) or not self._attempt(entry):
                 self._hold(entry)
             return
+        if status is i.Status.RESET and not entry.reset:
+            # Departure: it was the connection that broke, or the answer that was spoilt on it. The same cache
+            # has or is getting the part, another would fill it anew. Harms by one connect where it has died.
+            entry.reset = True
+            entry.tried.remove(cache)
+            entry.sources.remove(source)
         if entry.errors < ERRORS_MOST and self.retries >= 1.0 and self._attempt(entry):
             self.retries -= 1.0
         else:
@@ -451,6 +459,8 @@
             return
         if status is i.Status.CONNECT_FAILED:
             return self._mark(cache, 1.0, DEAD_SMOOTH)
+        if status is i.Status.RESET:
+            return self._mark(cache, 1.0, RESET_SMOOTH)  # a connection's end says nothing of the source
         if note in SOURCE_FAULTS:
             self._mark(source, 1.0)
         if note in SOURCE_FAULTS or status is i.Status.MISS or note == i.Note.NO_FILL_PLACE:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -372,3 +372,27 @@
     d.router._full = counted  # type: ignore[method-assign]
     d.handle(TimerFired(0))
     assert looked <= 2
+
+
+def test_after_a_broken_connection_the_same_cache_is_asked_once_more_then_another() -> None:
+    """What broke is a connection or the answer on it: the cache has the part, another would fill it anew."""
+    d = Driver()
+    ident = d.ask()
+    d.end(ident, Status.RESET)
+    first, second = d.sent[ident]
+    assert (second.server, second.source) == (first.server, first.source)
+    d.end(ident, Status.RESET)
+    assert d.sent[ident][2].server != first.server
+
+
+def test_connections_that_break_now_and_then_bench_neither_a_cache_nor_a_source() -> None:
+    """One in eight breaks, at all alike: nothing is wrong with any one store."""
+    d = Driver()
+    for obj in range(1, 400):
+        ident = d.ask(obj=obj)
+        d.now += 20 * MS
+        if obj % 8 < 1 or obj % 64 < 4:  # also four in a row
+            d.end(ident, Status.RESET)
+        d.end(ident)
+        assert not any(p.benched for p in d.router.peers.values())
+    assert not any(p.fail for p in d.router.tiers[0])
