--- a/hallproxy/logic.py
+++ b/hallproxy/logic.py
@@ -41,6 +41,7 @@
 DEAD_SMOOTH = 0.2  # ...and of a connect that failed, so that two in a row bench
 RESET_SMOOTH = 0.05  # ...and of a connection that broke, so that only breaks again and again bench
 SLOW_SMOOTH = 0.03  # weight of one answer in a cache's smoothed time over sending time
+TYPICAL_EVERY = 20 * MS  # ns between looks at that median
 SLOW_BASE = 0.05  # s added to a sending time, so that the way there does not count for small objects
 SLOW_FROM = 1.5  # times the median of its like from which a slow cache's weight falls in proportion
 BENCH_ABOVE = 0.35  # smoothed share of failures from which a peer is benched...
@@ -174,7 +175,7 @@
         self.gains = Ranks()  # of recent fills
         self.dense = Ranks()  # worth a second of sending, of recent requests
         self.link_use = USE_UNHEARD
-        self.typical = 0.0  # the caches' median time over sending time
+        self.typical, self.typical_at = 0.0, 0  # the caches' median time over sending time; when taken
         self.work: list[float] = [0.0] * len(settings.classes)  # mean sending time by class, s
         self.room = 0.0  # attempts out at the zone's caches together
         self.purges: OrderedDict[int, tuple[int, int]] = OrderedDict()  # object -> (purged at, forget at)
@@ -572,6 +573,8 @@
                 self._give_up(entry)
 
     def _arm(self) -> None:
+        while self.due and self._over(self.due[0][1]):
+            heapq.heappop(self.due)  # no timer for what is answered: it was one in three calls of this
         at = min(self.due[0][0] if self.due else OPEN_EVER, self.ask_at)
         if self.held:
             at = min(at, self.now + 50 * MS)
@@ -579,6 +582,10 @@
             self.timer_at = max(at, self.now + MS)
             self.actions.append(i.SetTimer(self.timer_at, 0))
 
+    def _over(self, ident: int) -> bool:
+        entry = self.open.get(ident)
+        return entry is None or entry.done
+
     def _upkeep(self) -> None:
         """What falls due with time alone: ageing, placing, held requests, subscriptions, probes."""
         if self.now >= self.timer_at:
@@ -589,8 +596,9 @@
             self.aged_at = self.now
             self.counts = {k: c / 2 for k, c in self.counts.items() if c / 2 >= COUNT_FLOOR}
             self.most = [m / 2 for m in self.most]
-        heard = sorted(p.slow for p in self.caches if p.slow)
-        self.typical = heard[(len(heard) - 1) // 2] if heard else 0.0
+        if not self.typical or self.now - self.typical_at >= TYPICAL_EVERY:
+            heard = sorted(p.slow for p in self.caches if p.slow)
+            self.typical, self.typical_at = heard[(len(heard) - 1) // 2] if heard else 0.0, self.now
         if self.now - self.status_at >= STATUS_EVERY:
             self._status()
         if self.now >= self.ask_at:
--- a/hallproxy/state/copies.py
+++ b/hallproxy/state/copies.py
@@ -40,6 +40,7 @@
 class Copies:
     most: int = 0  # bytes; 0: none are kept
     held: int = 0
+    held_by: list[int] = field(default_factory=lambda: [0, 0, 0])  # bytes by rank, as summing them up costs
     ranks: tuple[OrderedDict[Place, Copy], ...] = field(
         default_factory=lambda: (OrderedDict(), OrderedDict(), OrderedDict())
     )
@@ -51,22 +52,28 @@
         if size > self.most or not 1 <= copy.rank <= len(self.ranks):
             return
         spare = self.most - self.held
-        lower = self.ranks[: copy.rank]
-        if spare + sum(len(c.body) for rank in lower for c in rank.values()) < size:
+        if spare + sum(self.held_by[: copy.rank]) < size:
             return
-        for rank in lower:
-            while spare < size and rank:
-                left = rank.popitem(last=False)[1]
-                spare += len(left.body)
-                self.held -= len(left.body)
+        for n in range(copy.rank):
+            while spare < size and self.ranks[n]:
+                spare += self._pop(n)
         self.ranks[copy.rank - 1][place] = copy
+        self._count(copy.rank - 1, size)
+
+    def _pop(self, n: int) -> int:
+        size = len(self.ranks[n].popitem(last=False)[1].body)
+        self._count(n, -size)
+        return size
+
+    def _count(self, n: int, size: int) -> None:
         self.held += size
+        self.held_by[n] += size
 
     def resize(self, most: int) -> None:
         self.most = most
-        for rank in self.ranks:
+        for n, rank in enumerate(self.ranks):
             while self.held > most and rank:
-                self.held -= len(rank.popitem(last=False)[1].body)
+                self._pop(n)
 
     def get(self, place: Place) -> Copy | None:
         for rank in self.ranks:
@@ -76,10 +83,10 @@
         return None
 
     def drop(self, place: Place) -> None:
-        for rank in self.ranks:
+        for n, rank in enumerate(self.ranks):
             gone = rank.pop(place, None)
             if gone is not None:
-                self.held -= len(gone.body)
+                self._count(n, -len(gone.body))
 
     def purge(self, obj: int, group: int, purged: int) -> None:
         """Drop what was born before the purge of the object, or with 0 of the whole group."""
--- a/hallproxy/wire/frames.py
+++ b/hallproxy/wire/frames.py
@@ -22,6 +22,7 @@
 TTL_OVER = 4  # times the class's deadline that a client may wait at most
 CODES = {Verdict.SERVED: SERVED, Verdict.REFUSED: REFUSED, Verdict.FAILED: FAILED}
 MS = 1_000_000
+_HEX = re.compile(r"[0-9a-fA-F]+")
 _TOKEN = re.compile(r"[0-9A-Za-z._~:+/=-]{1,128}")
 WAY = 4 * MS  # ns of a client's wait that pass on the way here and back: it counts from when it sent
 
@@ -69,23 +70,19 @@
         fields: dict[str, str] = {}
         at = 1
         for _ in range(payload[0]):
-            size = payload[at]
-            name = str(_cut(payload, at + 1, size), "utf-8")
-            at += 1 + size
-            size = payload[at] << 8 | payload[at + 1]
-            fields[name] = str(_cut(payload, at + 2, size), "utf-8")
-            at += 2 + size
+            start = at + 1
+            at = start + payload[at]
+            name = str(payload[start:at], "utf-8")
+            start = at + 2
+            at = start + (payload[at] << 8 | payload[at + 1])
+            fields[name] = str(payload[start:at], "utf-8")
+        if at > len(payload):  # a slice past the end is merely short
+            raise IndexError
     except (IndexError, UnicodeDecodeError):
         raise FieldError("fields that can't be read") from None
     return fields, payload[at:]
 
 
-def _cut(payload: memoryview, at: int, size: int) -> memoryview:
-    if at + size > len(payload):
-        raise IndexError
-    return payload[at : at + size]
-
-
 def pack_fields(fields: Mapping[str, str]) -> bytes:
     parts = [bytes((len(fields),))]
     for name, value in fields.items():
@@ -96,7 +93,7 @@
 
 def _hex(text: str, digits: int, name: str) -> int:
     # int() alone would also take signs, blanks and underscores
-    if len(text) != digits or any(c not in "0123456789abcdef" for c in text.lower()):
+    if len(text) != digits or _HEX.fullmatch(text) is None:
         raise FieldError(f"{name} is not {digits} hex digits")
     return int(text, 16)
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -396,3 +396,11 @@
         d.end(ident)
         assert not any(p.benched for p in d.router.peers.values())
     assert not any(p.fail for p in d.router.tiers[0])
+
+
+def test_no_timer_is_kept_for_requests_that_are_answered() -> None:
+    d = Driver()
+    d.serve(200)
+    before = len(d.timers)
+    d.wait(20 * SECOND)
+    assert not d.router.due and len(d.timers) == 0 and before < 10
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -215,3 +215,16 @@
         return said
 
     assert asyncio.run(run()) == ["large", "a", "b"]
+
+
+def test_bytes_by_rank_are_what_the_ranks_hold() -> None:
+    """They stand for sums over all copies, which at each new one took a tenth of the gateway's time."""
+    copies = Copies(most=300)
+    for n in range(200):
+        copies.put((0, n * 7 % 40, 0), Copy(b"x" * (n % 90), "", n, n % 5, n % 4))
+        if n % 9 == 0:
+            copies.purge(0, n % 5, n - 3)
+        if n == 150:
+            copies.resize(120)
+        assert copies.held_by == [sum(len(c.body) for c in rank.values()) for rank in copies.ranks]
+        assert copies.held == sum(copies.held_by) <= copies.most
