A second attempt for answers that stay away, while there are such

Ruled out: silent machines (_silent finds those), a jam (room 231, 80 out, nothing late).

The module counts such answers; while there are any, a safe request whose attempt takes longer than 98 in 100 of recent ones, by its own sending time, is asked once more, for a retry's token, at the same cache, and what loses is cancelled. Keyed requests are left alone.

--- a/hallproxy/logic.py
+++ b/hallproxy/logic.py
@@ -53,6 +53,9 @@
 RETRY_BURST = 20.0  # further attempts in hand at most, of all a zone's routers
 ERRORS_MOST = 3  # answers 'error' to one request; from then on it is taken to be the request's fault
 SILENT = 2 * SECOND  # ns without one answer after which a member does not count as alive
+LOST_SMOOTH = 0.01  # weight of one answer in the smoothed share of those that never came...
+LOST_FROM = 0.002  # ...from which an attempt may be doubled...
+LONG_AT = 0.98  # ...once it takes longer than this share of recent answers
 SHORTEST = 2 * MS  # ns past its own sending time; with less time left no attempt is sent
 HOLD_MOST = 500 * MS  # ns a request waits for a usable member
 RETRY_AFTER = 200 * MS  # ns of advice in a refusal
@@ -64,7 +67,7 @@
 ROOM_LINK = 0.75  # ...or, where weights tell what links carry, this share of that
 ROOM_FIRST = 16.0  # attempts a cache before anything is known, ...
 ROOM_MOST = 40.0  # ...and at most, ...
-ROOM_OVER = 2.0  # ...or this multiple of that share of the links
+ROOM_OVER = 2.0  # ...or this multiple of the least: large links are not held to what small ones carry
 ROOM_SINGLE = 1.0  # attempts; a router's part of the room is never taken to be less
 ROOM_CUT = 0.99  # factor for each late answer
 ROOM_CUT_LOST = 0.96  # factor for each attempt that ran out of time or was turned away as full
@@ -174,6 +177,9 @@
         self.aged_at = -1
         self.most = [1e-12, 1e-12, 1e-12]  # the largest worth, network and startup terms lately
         self.gains = Ranks()  # of recent fills
+        self.spans = Ranks()  # of recent answers, time over sending time
+        self.lost = 0.0  # smoothed share of attempts whose answers never came, though the cache was well
+        self.long: list[tuple[int, int, int]] = []  # (time, request, attempt) from which an answer stays away
         self.dense = Ranks()  # worth a second of sending, of recent requests
         self.link_use = USE_UNHEARD
         self.typical, self.typical_at = 0.0, 0  # the caches' median time over sending time; when taken
@@ -223,6 +229,7 @@
                 case i.Probed():
                     self._report(event.server, event.load)
         self._release()
+        self._ask_again()
         self._deadlines()
         self._arm()
         return self.actions
@@ -290,11 +297,35 @@
             peer.allowance -= self.work[request.cls]
             peer.out += 1
         entry.out[entry.sent] = (cache, source, self.now)
+        if self.lost > LOST_FROM and cls.effect is i.Effect.SAFE and self.s.second_copies and not lookup:
+            heapq.heappush(self.long, (self.now + self._long(request), request.id, entry.sent))
         entry.sent += 1
         entry.tried.append(cache)
         entry.sources.append(source)
         return True
 
+    def _long(self, request: i.Request) -> int:
+        """How long (ns) an answer takes that is among the slowest of those that came lately."""
+        spans = self.spans.ordered
+        return int(spans[int(LONG_AT * len(spans))] * (SLOW_BASE + self._work(request)) * SECOND)
+
+    def _ask_again(self) -> None:
+        """A second attempt for an answer that stays away, though its cache has answered others since.
+
+        Departure. Guards against answers that never come, while there are such: only the client's leaving
+        would show it. The same cache may hold the part by now. Harms by work done twice; no room, no harm.
+        """
+        while self.long and self.long[0][0] <= self.now:
+            _, ident, attempt = heapq.heappop(self.long)
+            entry = self.open.get(ident)
+            if entry is None or entry.done or list(entry.out) != [attempt] or self._full(entry):
+                continue
+            cache, source, sent_at = entry.out[attempt]
+            if cache.answered > sent_at and self.retries >= 1.0:
+                entry.tried.remove(cache)
+                entry.sources.remove(source)
+                self.retries -= self._attempt(entry)
+
     def _in_time(self, entry: Open) -> bool:
         """Whether its bytes could be there before its client leaves; else it is work for nothing."""
         return entry.until - self.now >= self._sending(entry.request) + SHORTEST
@@ -411,12 +442,10 @@
         if status not in NEVER_RAN and entry.maybe_ran is None:
             entry.maybe_ran = (cache.member, sent_at)
         if event.closed or entry.done:
-            entry.done = True
-            if not entry.out:
-                self.open.pop(event.request, None)
+            self._end(event.request)
             return
-        if status is i.Status.OK:
-            return  # an open answer's end: the bench closes it itself
+        if status is i.Status.OK or entry.out:
+            return  # an open answer's end: the bench closes it; or the other attempt may still serve it
         if (status is i.Status.MISS and entry.lookup) or (status is i.Status.FULL and self._full(entry)):
             entry.tried.remove(cache)  # a cache that is full is asked again: it may hold a copy
             if self._full(entry) or not self._attempt(entry):
@@ -447,6 +476,8 @@
             cache.slow = cache.slow or self.typical or slow
             cache.slow += SLOW_SMOOTH * (slow - cache.slow)
         if status is i.Status.OK:
+            self.spans.add(event.latency / SECOND / (SLOW_BASE + self._work(entry.request)))
+            self.lost -= LOST_SMOOTH * self.lost
             cache.answered = self.now
             for peer in {cache.member.server: cache, source.member.server: source}.values():
                 peer.served += self.work[self.open[event.request].request.cls]
@@ -468,6 +499,7 @@
         if note in SOURCE_FAULTS or status is i.Status.MISS or note == i.Note.NO_FILL_PLACE:
             return
         if status is i.Status.TIMEOUT and cache.answered > self.now - event.latency:
+            self.lost += LOST_SMOOTH * (1.0 - self.lost)
             return  # it served others meanwhile: slow, not gone. Benching it would move its load to the next
         if status is i.Status.ERROR:
             entry.errors += 1
@@ -497,10 +529,8 @@
             elif self._held_out() >= self.room * ROOM_IN_USE:
                 self.room += ROOM_STEP / self.room / routers
         links = ROOM_LINK * sum(p.member.weight for p in self.caches) / routers
-        if self.s.weights_told:  # large links are not held to what small ones carry
-            self.room = min(max(ROOM_MOST * size, ROOM_OVER * links), max(links, self.room))
-        else:
-            self.room = min(ROOM_MOST * size, max(ROOM_LEAST * size, self.room))
+        least = links if self.s.weights_told else ROOM_LEAST * size
+        self.room = min(max(ROOM_MOST * size, ROOM_OVER * least), max(least, self.room))
 
     def _held_out(self) -> int:
         """Attempts out at the caches; what a benched one sits on must not take the room of the others."""
@@ -578,8 +608,12 @@
 
     def _arm(self) -> None:
         while self.due and self._over(self.due[0][1]):
-            heapq.heappop(self.due)  # no timer for what is answered: it was one in three calls of this
+            heapq.heappop(self.due)
+        while self.long and self._over(self.long[0][1]):
+            heapq.heappop(self.long)  # no timer for what is answered: it was one in three calls of this
         at = min(self.due[0][0] if self.due else OPEN_EVER, self.ask_at)
+        if self.long:
+            at = min(at, self.long[0][0])
         if self.held:
             at = min(at, self.now + 50 * MS)
         if at < self.timer_at:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -7,10 +7,13 @@
 import pytest
 
 from hallproxy.interface import (
+    Cancel,
+    Effect,
     Get,
     ListKind,
     Member,
     MembersChanged,
+    Outcome,
     Refuse,
     Request,
     SetTimer,
@@ -416,3 +419,35 @@
     d.now += 50 * MS
     d.end(1)
     assert d.router.room == pytest.approx(2 * 0.75 * 400)
+
+
+def test_an_answer_that_stays_away_is_asked_for_again_only_while_there_are_such() -> None:
+    d = Driver(second_copies=True)
+    d.serve(50)
+    quiet = d.ask(obj=100)
+    d.wait(4 * SECOND)
+    assert len(d.sent[quiet]) == 1  # nothing has gone missing yet: slow is not lost
+    d.serve(1, first=200)
+    d.router.peers[d.sent[quiet][0].server].answered = d.now
+    d.end(quiet, Status.TIMEOUT, 4 * SECOND)
+    d.end(quiet)  # the try after it
+    assert d.router.lost > 0
+    late = d.ask(obj=101)
+    d.now += MS
+    d.router.peers[d.sent[late][0].server].answered = d.now  # the cache is well: it has answered others since
+    d.wait(SECOND)
+    assert len(d.sent[late]) == 2 and d.sent[late][0].server == d.sent[late][1].server
+    get = d.sent[late][1]
+    told = d.handle(Outcome(late, 1, get.server, Status.OK, 50 * MS, True))
+    assert Cancel(late, 0) in told  # the first is given up: nobody waits for it any more
+    d.handle(Outcome(late, 0, get.server, Status.CANCELLED, 50 * MS, True))
+    assert late not in d.router.open and not any(p.out for p in d.router.caches)
+    classes = tuple(replace(c, effect=Effect.KEYED) for c in d.settings.classes)
+    keyed = Driver(second_copies=True, classes=classes)
+    keyed.router.lost = 1.0
+    keyed.serve(50)
+    once = keyed.ask(obj=100)
+    keyed.now += MS
+    keyed.router.peers[keyed.sent[once][0].server].answered = keyed.now
+    keyed.wait(SECOND)
+    assert len(keyed.sent[once]) == 1
