--- a/hallproxy/logic.py
+++ b/hallproxy/logic.py
@@ -55,6 +55,7 @@
 SILENT = 2 * SECOND  # ns without one answer after which a member does not count as alive
 LOST_SMOOTH = 0.01  # weight of one answer in the smoothed share of those that never came...
 LOST_FROM = 0.002  # ...from which an attempt may be doubled...
+LOST_AFTER = 2.0  # times the span of LONG_AT after which an answer counts as lost, not late as in a jam
 LONG_AT = 0.98  # ...once it takes longer than this share of recent answers
 SHORTEST = 2 * MS  # ns past its own sending time; with less time left no attempt is sent
 HOLD_MOST = 500 * MS  # ns a request waits for a usable member
@@ -328,12 +329,9 @@
 
     def _in_time(self, entry: Open) -> bool:
         """Whether its bytes could be there before its client leaves; else it is work for nothing."""
-        return entry.until - self.now >= self._sending(entry.request) + SHORTEST
-
-    def _sending(self, request: i.Request) -> int:
-        """The least time (ns) that sending it takes, where its size is told."""
-        told = request.size_kb > 0 and self.s.flow_kb_s > 0 and not request.write
-        return int(request.size_kb / self.s.flow_kb_s * SECOND) if told else 0
+        told = entry.request.size_kb > 0 and self.s.flow_kb_s > 0 and not entry.request.write
+        sending = int(entry.request.size_kb / self.s.flow_kb_s * SECOND) if told else 0
+        return entry.until - self.now >= sending + SHORTEST
 
     def _work(self, request: i.Request) -> float:
         """Seconds that sending it takes at a transfer's full pace; the class's mean where it is not told."""
@@ -499,7 +497,8 @@
         if note in SOURCE_FAULTS or status is i.Status.MISS or note == i.Note.NO_FILL_PLACE:
             return
         if status is i.Status.TIMEOUT and cache.answered > self.now - event.latency:
-            self.lost += LOST_SMOOTH * (1.0 - self.lost)
+            if self.spans.ordered and event.latency > LOST_AFTER * self._long(entry.request):
+                self.lost += LOST_SMOOTH * (1.0 - self.lost)
             return  # it served others meanwhile: slow, not gone. Benching it would move its load to the next
         if status is i.Status.ERROR:
             entry.errors += 1
