Making room for a client no longer trips over a connection that has just closed

Ruled out: the time of the drain itself (0.8 s and quiet).

A closed stream has nothing unsent. A connection with nothing open may make room after 60 ms, not 0.5 s: what crosses such a close is sent again by its client, while a refused connection's request has failed.

--- a/hallproxy/run/clients.py
+++ b/hallproxy/run/clients.py
@@ -16,7 +16,7 @@
 OPEN_MOST = 32  # requests open on one connection
 UNSENT_MOST = 2 * 1024 * 1024  # bytes waiting for a client that does not read; over that it is closed
 WHOLE_IN = 2.0  # s for a first whole frame, and for the rest of each that has begun; a refusal is owed in 3 s
-QUIET_LEAST = 0.5  # s without a request after which a client's connection may be closed for another's
+QUIET_LEAST = 0.06  # s without a request from which a client's connection may be closed for another's
 AT_ONCE = 8  # frames of one connection that are taken before the others have their turn
 FAULTS_MOST = 16  # frames turned away on one connection for what they hold; then it is closed
 READ_MOST = 16_384  # bytes that the buffer grows by at a time, whatever length a frame claims
--- a/hallproxy/run/sockets.py
+++ b/hallproxy/run/sockets.py
@@ -18,7 +18,8 @@
     @property
     def unsent(self) -> int:
         """Bytes that the other side has not taken yet."""
-        return len(self._write_buffer)
+        # A stream that has closed has no buffer any more, while its owner may still be listed as open.
+        return 0 if self.closed() else len(self._write_buffer)
 
     def stale(self) -> bool:
         """Whether the other side has closed, or has sent something that nobody has read yet."""
--- a/tests/test_rude.py
+++ b/tests/test_rude.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 import struct
 import time
@@ -11,6 +12,7 @@
 import pytest
 
 from hallproxy.run import clients
+from hallproxy.run.sockets import stream
 from hallproxy.wire import frames
 from tests.gateway import Client, Platform, ok, response, until
 
@@ -148,3 +150,33 @@
     platform.all_reply(lambda _: response(200, b"x", ETag="t", X_Born_Ms="1"))
     well(platform)
     assert not [x for x in platform.program.lines if "Error" in x or "fault" in x], platform.program.lines
+
+
+def test_clients_with_a_connection_for_each_request_come_and_go_at_the_limit(platform: Platform) -> None:
+    """Some streams have closed while their connections are still listed: making room must not trip over them."""
+    stay = [platform.client() for _ in range(60)]  # more than there are places for
+    for n, client in enumerate(stay):
+        client.ask(op="small", row=n + 1)
+        assert client.answer()[0] == SERVED
+    for n in range(150):
+        client = platform.client()
+        client.ask(op="small", row=n % 7 + 1)
+        assert client.answer()[0] == SERVED
+        if n % 2:
+            client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        client.sock.close()
+    assert platform.program.stop() == 0
+    assert not [x for x in platform.program.lines if "Error" in x or "Exception" in x], platform.program.lines
+
+
+def test_a_closed_stream_has_nothing_unsent() -> None:
+    """Asked of a closed one, the answer used to be a TypeError, which ended the drain and lost requests."""
+
+    async def run() -> int:
+        ours, theirs = socket.socketpair()
+        made = stream(ours)
+        made.close()
+        theirs.close()
+        return made.unsent
+
+    assert asyncio.run(run()) == 0
