Who is quiet makes room at once, who has just come goes last

A quiet connection now always makes room (its client sends again what crosses the close); one that has just come goes last, as up to 128 are accepted before the first word of any is read.

--- a/hallproxy/run/clients.py
+++ b/hallproxy/run/clients.py
@@ -16,7 +16,7 @@
 OPEN_MOST = 32  # requests open on one connection
 UNSENT_MOST = 2 * 1024 * 1024  # bytes waiting for a client that does not read; over that it is closed
 WHOLE_IN = 2.0  # s for a first whole frame, and for the rest of each that has begun; a refusal is owed in 3 s
-QUIET_LEAST = 0.06  # s without a request from which a client's connection may be closed for another's
+SPEAK_IN = 0.3  # s without a word from which a new connection may be closed for another's
 AT_ONCE = 8  # frames of one connection that are taken before the others have their turn
 FAULTS_MOST = 16  # frames turned away on one connection for what they hold; then it is closed
 READ_MOST = 16_384  # bytes that the buffer grows by at a time, whatever length a frame claims
@@ -171,16 +171,21 @@
         return sum(c.unsent for c in self.connections) > self.loop.state.bounds.unsent
 
     def _make_room(self) -> bool:
-        """Close one that has nothing open: first who never said anything, then who has been quiet longest."""
+        """Close one that has nothing open: who has long said nothing at all, else who has been quiet longest.
+
+        What crosses such a close is sent again by its client; a connection turned away is a request failed.
+        Who has just come goes last: many are accepted before the first word of any is read.
+        """
+        silent_since = asyncio.get_running_loop().time() - SPEAK_IN
+
+        def rank(one: Connection) -> tuple[int, float]:
+            return (1 if one.asked else 0 if one.quiet_since < silent_since else 2), one.quiet_since
+
         free = [c for c in self.connections if not c.open and not c.unsent]
-        longest = min(free, key=lambda c: (c.asked, c.quiet_since), default=None)
-        if longest is None or (longest.asked and self._now() - longest.quiet_since < QUIET_LEAST):
-            return False
-        longest.close()
-        return True
-
-    def _now(self) -> float:
-        return asyncio.get_running_loop().time()
+        longest = min(free, key=rank, default=None)
+        if longest is not None:
+            longest.close()
+        return longest is not None
 
     def accept(self, sock: socket.socket, _: object) -> None:
         if len(self.connections) >= self.loop.state.bounds.callers and not self._make_room():
