Answers that stay away take no room and do not shrink it

Traced outcome by outcome: one answer in ten of these caches never comes, lookups too, and holds its place for 1.3 to 2.7 s; its time-out then cuts the room. Faulty lines: logic.py _held_out and _size_room.

An attempt out for twice the time of the slowest two in a hundred, at a cache that has answered others since, is no load any more, also when it runs out; safe ones are asked for again, lookups too. The smoothed share of lost answers is not needed with that.

--- a/hallproxy/logic.py
+++ b/hallproxy/logic.py
@@ -53,10 +53,8 @@
 RETRY_BURST = 20.0  # further attempts in hand at most, of all a zone's routers
 ERRORS_MOST = 3  # answers 'error' to one request; from then on it is taken to be the request's fault
 SILENT = 2 * SECOND  # ns without one answer after which a member does not count as alive
-LOST_SMOOTH = 0.01  # weight of one answer in the smoothed share of those that never came...
-LOST_FROM = 0.002  # ...from which an attempt may be doubled...
-LOST_AFTER = 2.0  # times the span of LONG_AT after which an answer counts as lost, not late as in a jam
-LONG_AT = 0.98  # ...once it takes longer than this share of recent answers
+LONG_AT = 0.98  # an answer is long that takes longer than this share of recent ones...
+LOST_AFTER = 2  # ...and stays away from this many times that on: it is lost, not late as in a jam
 SHORTEST = 2 * MS  # ns past its own sending time; with less time left no attempt is sent
 HOLD_MOST = 500 * MS  # ns a request waits for a usable member
 RETRY_AFTER = 200 * MS  # ns of advice in a refusal
@@ -110,6 +108,7 @@
     benched: bool = False
     next_trial: int = 0
     out: int = 0  # attempts out at it or filled from it
+    stuck: int = 0  # of those at it, whose answers stay away
     allowance: float = 0.0  # s of sending time that may be asked of it while it is cold
     allowed_at: int = 0  # ns; when the allowance last grew; 0: never
     slow: float = 0.0  # smoothed time over sending time of its answers; 0 until heard
@@ -179,7 +178,7 @@
         self.most = [1e-12, 1e-12, 1e-12]  # the largest worth, network and startup terms lately
         self.gains = Ranks()  # of recent fills
         self.spans = Ranks()  # of recent answers, time over sending time
-        self.lost = 0.0  # smoothed share of attempts whose answers never came, though the cache was well
+        self.stuck: dict[tuple[int, int], Peer] = {}  # (request, attempt) of those out that stay away
         self.long: list[tuple[int, int, int]] = []  # (time, request, attempt) from which an answer stays away
         self.dense = Ranks()  # worth a second of sending, of recent requests
         self.link_use = USE_UNHEARD
@@ -298,8 +297,8 @@
             peer.allowance -= self.work[request.cls]
             peer.out += 1
         entry.out[entry.sent] = (cache, source, self.now)
-        if self.lost > LOST_FROM and cls.effect is i.Effect.SAFE and self.s.second_copies and not lookup:
-            heapq.heappush(self.long, (self.now + self._long(request), request.id, entry.sent))
+        if self.spans.ordered:
+            heapq.heappush(self.long, (self.now + LOST_AFTER * self._long(request), request.id, entry.sent))
         entry.sent += 1
         entry.tried.append(cache)
         entry.sources.append(source)
@@ -311,18 +310,21 @@
         return int(spans[int(LONG_AT * len(spans))] * (SLOW_BASE + self._work(request)) * SECOND)
 
     def _ask_again(self) -> None:
-        """A second attempt for an answer that stays away, though its cache has answered others since.
+        """What to do about an answer that stays away, though its cache has answered others since.
 
-        Departure. Guards against answers that never come, while there are such: only the client's leaving
-        would show it. The same cache may hold the part by now. Harms by work done twice; no room, no harm.
+        Departure. It takes no room any more, as no store works on it, and where there is room it is asked for
+        again: the same cache may hold the part by now. Guards against answers that never come.
         """
         while self.long and self.long[0][0] <= self.now:
             _, ident, attempt = heapq.heappop(self.long)
             entry = self.open.get(ident)
-            if entry is None or entry.done or list(entry.out) != [attempt] or self._full(entry):
+            cache, source, sent_at = entry.out.get(attempt, (None, None, 0)) if entry else (None, None, 0)
+            if entry is None or entry.done or cache is None or source is None or cache.answered <= sent_at:
                 continue
-            cache, source, sent_at = entry.out[attempt]
-            if cache.answered > sent_at and self.retries >= 1.0:
+            self.stuck[ident, attempt] = cache
+            cache.stuck += 1
+            safe = self.s.second_copies and self.s.classes[entry.request.cls].effect is i.Effect.SAFE
+            if safe and len(entry.out) == 1 and self.retries >= 1.0 and not self._full(entry):
                 entry.tried.remove(cache)
                 entry.sources.remove(source)
                 self.retries -= self._attempt(entry)
@@ -394,9 +396,8 @@
     def _pace(self, peer: Peer) -> float:
         """A slow cache's part of its weight in the hash. Departure: acts past SLOW_FROM times the median.
 
-        Guards against a cache that ages, is smaller than told or has a crowded link, before anything times
-        out; what remains of its weight is its way back. A cause that all share moves the median, and nobody's
-        weight. Harms by refilling what moves, and where its objects merely are the harder ones.
+        Guards against a cache that ages, is small or has a crowded link, before anything times out; a cause
+        that all share moves nobody. Harms by refilling what moves, and where its objects are the harder ones.
         """
         return min(1.0, SLOW_FROM * self.typical / peer.slow) if peer.slow else 1.0
 
@@ -435,8 +436,11 @@
         if event.load:
             self._report(event.server, event.load)
         status = event.status
+        stuck = self.stuck.pop((event.request, event.attempt), None)
+        cache.stuck -= stuck is not None
         self._judge(event, cache, source)
-        self._size_room(entry, event)
+        if stuck is None or status is not i.Status.TIMEOUT:
+            self._size_room(entry, event)
         if status not in NEVER_RAN and entry.maybe_ran is None:
             entry.maybe_ran = (cache.member, sent_at)
         if event.closed or entry.done:
@@ -475,7 +479,6 @@
             cache.slow += SLOW_SMOOTH * (slow - cache.slow)
         if status is i.Status.OK:
             self.spans.add(event.latency / SECOND / (SLOW_BASE + self._work(entry.request)))
-            self.lost -= LOST_SMOOTH * self.lost
             cache.answered = self.now
             for peer in {cache.member.server: cache, source.member.server: source}.values():
                 peer.served += self.work[self.open[event.request].request.cls]
@@ -497,8 +500,6 @@
         if note in SOURCE_FAULTS or status is i.Status.MISS or note == i.Note.NO_FILL_PLACE:
             return
         if status is i.Status.TIMEOUT and cache.answered > self.now - event.latency:
-            if self.spans.ordered and event.latency > LOST_AFTER * self._long(entry.request):
-                self.lost += LOST_SMOOTH * (1.0 - self.lost)
             return  # it served others meanwhile: slow, not gone. Benching it would move its load to the next
         if status is i.Status.ERROR:
             entry.errors += 1
@@ -533,7 +534,7 @@
 
     def _held_out(self) -> int:
         """Attempts out at the caches; what a benched one sits on must not take the room of the others."""
-        return sum(p.out for p in self.caches if not p.benched)
+        return sum(p.out - p.stuck for p in self.caches if not p.benched)
 
     def _full(self, entry: Open, times: float = 1.0) -> bool:
         """Whether there is no room for it. Departure, in the spirit of revenue per byte: worth a second of
