--- a/hallproxy/run/sockets.py
+++ b/hallproxy/run/sockets.py
@@ -21,6 +21,14 @@
         # A stream that has closed has no buffer any more, while its owner may still be listed as open.
         return 0 if self.closed() else len(self._write_buffer)
 
+    async def some(self, into: memoryview, within: float | None = None) -> int:
+        """Read what there is, at least a byte; TimeoutError if none comes within so many seconds."""
+        reading = self.read_into(into, partial=True)  # type: ignore[arg-type]
+        # Most reads are over at once: a timer for each would cost more than they do.
+        if within is None or (isinstance(reading, asyncio.Future) and reading.done()):
+            return await reading
+        return await asyncio.wait_for(reading, within)
+
     def stale(self) -> bool:
         """Whether the other side has closed, or has sent something that nobody has read yet."""
         if self.closed():
@@ -98,11 +106,11 @@
         self.data = bytearray(size)
         self.filled = 0
 
-    async def fill(self, source: Stream, room: int = 1) -> None:
-        """Read what there is, after making room for so many bytes."""
+    async def fill(self, source: Stream, room: int = 1, within: float | None = None) -> None:
+        """Read what there is, after making room for so many bytes; TimeoutError if nothing comes."""
         if len(self.data) - self.filled < room:
             self.data.extend(bytes(room - (len(self.data) - self.filled)))
-        self.filled += await source.read_into(memoryview(self.data)[self.filled :], partial=True)  # type: ignore[arg-type]
+        self.filled += await source.some(memoryview(self.data)[self.filled :], within)
 
     def drop(self, size: int) -> None:
         """Forget the first so many bytes."""
--- a/hallproxy/run/stores.py
+++ b/hallproxy/run/stores.py
@@ -25,6 +25,9 @@
 
     most: int  # bytes of a body
 
+    @property
+    def pause(self) -> float: ...  # s without a byte after which an answer that has begun has stopped short
+
     def head(self, order: Order, host: str) -> bytes: ...
 
     def read(self, order: Order, head: Head, body: bytes, sent_at: int) -> Result: ...
@@ -87,6 +90,9 @@
             while link in self._streams:
                 if not await self._one(link, made, buffer):
                     return
+        except TimeoutError:
+            # Guards against answers that begin, stop and stay open: each would take its request's whole time.
+            say(f"store {host}: an answer that stopped short")
         except (StreamClosedError, OSError, ConfigError):
             pass
         except HttpError as error:
@@ -97,7 +103,6 @@
                 self._loop.bring(LinkDown(self._loop.now(), link))
                 self.close(link)
 
-
     async def _one(self, link: int, made: Stream, buffer: Buffer) -> bool:
         """Bring one answer; false: nobody waits for it any more."""
         if not buffer.filled:
@@ -105,11 +110,12 @@
         if link not in self._orders:
             # What follows would be taken for the next answer. Guards against bytes behind a good one.
             raise HttpError("bytes that nobody asked for")
-        head = await read_head(made, buffer)
+        pause = self._speech.pause
+        head = await read_head(made, buffer, pause)
         size = min(CHUNKED if head.length is None else head.length, self._speech.most)
         await self._budget.take(size)
         try:
-            body = await read_body(made, buffer, head, self._speech.most)
+            body = await read_body(made, buffer, head, self._speech.most, pause)
             if link not in self._streams:
                 return False
             sent = self._orders.pop(link, None)
@@ -124,11 +130,11 @@
             self._budget.give(size)
 
 
-async def read_head(made: Stream, buffer: Buffer) -> Head:
-    """The final answer's head; those of 1xx ahead of it are passed over."""
+async def read_head(made: Stream, buffer: Buffer, pause: float | None = None) -> Head:
+    """The final answer's head; those of 1xx ahead of it are passed over, and may be long ahead."""
     for _ in range(INTERIM_MOST):
         while (head := response_head(buffer.data, buffer.filled)) is None:
-            await buffer.fill(made, 2048)
+            await buffer.fill(made, 2048, pause if buffer.filled else None)
         buffer.drop(head.size)
         if head.status >= 200:
             return head
@@ -137,7 +143,9 @@
     raise HttpError("interim answers and no final one")
 
 
-async def read_body(made: Stream, buffer: Buffer, head: Head, most: int) -> bytes:
+async def read_body(
+    made: Stream, buffer: Buffer, head: Head, most: int, pause: float | None = None
+) -> bytes:
     """A response's body, whole. One cut short raises; it is never taken for a whole one."""
     length = head.length
     if length is not None:
@@ -147,42 +155,42 @@
         have = min(length, buffer.filled)
         body[:have] = memoryview(buffer.data)[:have]
         buffer.drop(have)
-        if have < length:
-            await made.read_into(memoryview(body)[have:])  # type: ignore[arg-type]
+        while have < length:
+            have += await made.some(memoryview(body)[have:], pause)
         return bytes(body)
     if not head.chunked:
         raise HttpError("a body without a length")
     body = bytearray()
     framing = 0  # bytes of chunk sizes and trailers: they must not go on for ever either
-    while length := chunk_size(line := await _line(made, buffer)):
+    while length := chunk_size(line := await _line(made, buffer, pause)):
         framing += len(line)
         if len(body) + length > most:
             raise HttpError(f"a body of over {most} bytes")
-        body += await _take(made, buffer, length)
-        if await _line(made, buffer):
+        body += await _take(made, buffer, length, pause)
+        if await _line(made, buffer, pause):
             raise HttpError("a chunk longer than it says")
         if framing > FRAMING_MOST:
             raise HttpError("chunks that hold next to nothing")
-    while line := await _line(made, buffer):  # trailers
+    while line := await _line(made, buffer, pause):  # trailers
         framing += len(line)
         if framing > FRAMING_MOST:
             raise HttpError("trailers without end")
     return bytes(body)
 
 
-async def _line(made: Stream, buffer: Buffer) -> bytes:
+async def _line(made: Stream, buffer: Buffer, pause: float | None) -> bytes:
     while (at := buffer.data.find(b"\r\n", 0, buffer.filled)) < 0:
         if buffer.filled > 4096:
             raise HttpError("a line that is too long")
-        await buffer.fill(made, 2048)
+        await buffer.fill(made, 2048, pause)
     line = bytes(buffer.data[:at])
     buffer.drop(at + 2)
     return line
 
 
-async def _take(made: Stream, buffer: Buffer, size: int) -> bytes:
+async def _take(made: Stream, buffer: Buffer, size: int, pause: float | None) -> bytes:
     while buffer.filled < size:
-        await buffer.fill(made, size - buffer.filled)
+        await buffer.fill(made, size - buffer.filled, pause)
     data = bytes(buffer.data[:size])
     buffer.drop(size)
     return data
--- a/hallproxy/wire/simple.py
+++ b/hallproxy/wire/simple.py
@@ -286,6 +286,8 @@
 class Upstream:
     """The wire to an upstream repository, for the effect runner."""
 
+    pause = 2.0  # s; the way there may be long, and a lost packet alone costs some tenths
+
     def __init__(self, most: int, hosts: Iterable[str]) -> None:
         self.configure(most, hosts)
 
--- a/hallproxy/wire/stores.py
+++ b/hallproxy/wire/stores.py
@@ -8,6 +8,8 @@
 from hallproxy.wire.http1 import Head, HttpError
 
 MS = 1_000_000
+SECOND = 1_000_000_000
+PAUSE_SHARE, PAUSE_LEAST = 0.25, 0.03  # of the shortest aim; s
 MOST = 300_000  # bytes of an object's part; over that the answer is not taken in
 
 
@@ -77,6 +79,11 @@
     def __init__(self, settings: i.Settings) -> None:
         self.settings = settings
 
+    @property
+    def pause(self) -> float:
+        """A part of the shortest aim: what is asked again then may still be there in time."""
+        return max(PAUSE_LEAST, PAUSE_SHARE * min(c.aim for c in self.settings.classes) / SECOND)
+
     def head(self, order: Order, host: str) -> bytes:
         return order_head(order, host, self.settings)
 
--- a/tests/test_garble.py
+++ b/tests/test_garble.py
@@ -18,6 +18,8 @@
 GOOD = response(200, b"bytes", ETag="t1", X_Born_Ms="1")
 EARLY = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
 
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nbytes\r\n0\r\n\r\n"
+
 
 class Raw:
     """A store that writes what it is told, as it is, and keeps the connection open."""
@@ -98,6 +100,29 @@
     assert store.requests == 2
 
 
+@pytest.mark.parametrize(
+    "half", [b"HTTP/1.1 200", GOOD[:-2], GOOD[:-5], EARLY + GOOD[:30], CHUNKED[:-9], CHUNKED[:-3]]
+)
+def test_an_answer_that_begins_and_stops_short_is_asked_for_again_in_time(
+    made: list[Platform], tmp_path: Path, half: bytes
+) -> None:
+    # Its connection stays open and quiet: without a limit on such pauses it takes the request's whole time.
+    store = Raw(half)
+    _, client = start(made, tmp_path, store)
+    assert rows(client, 2) == [(SERVED, b"bytes")] * 2
+    assert store.ended.wait(5) and store.requests == 3
+
+
+def test_a_final_answer_may_come_long_after_an_interim_one(made: list[Platform], tmp_path: Path) -> None:
+    store = Raw(EARLY)
+    _, client = start(made, tmp_path, store)
+    client.ask(op="small", row=1)
+    until(lambda: store.requests)
+    assert not store.ended.wait(0.3)  # a store may work on it for as long as it likes
+    store.listener.connections[0].sendall(GOOD)
+    assert client.answer()[0] == SERVED and store.requests == 1
+
+
 @pytest.mark.parametrize(
     ("spoilt", "endless"),
     [
