Second attempts in time for the aim, and only where answers do get lost

Faulty: logic.py _attempt (LOST_AFTER times _long alone) and _ask_again (the attempt is dropped where cache.answered <= sent_at; SAFE only).

--- a/hallproxy/logic.py
+++ b/hallproxy/logic.py
@@ -53,8 +53,11 @@
 RETRY_BURST = 20.0  # further attempts in hand at most, of all a zone's routers
 ERRORS_MOST = 3  # answers 'error' to one request; from then on it is taken to be the request's fault
 SILENT = 2 * SECOND  # ns without one answer after which a member does not count as alive
-LONG_AT = 0.98  # an answer is long that takes longer than this share of recent ones...
-LOST_AFTER = 2  # ...and stays away from this many times that on: it is lost, not late as in a jam
+LONG_AT = 0.98  # an answer is long that takes longer than this share of recent ones; it stays away...
+LOST_AFTER = 2  # ...from this many times that on, or, where lost ones are told from late ones, earlier: ...
+AGAIN_IN = 1.5  # ...so that another, in this many times the usual time, would still be in time
+LATE_MOST = 0.85  # share of those that stayed away and came after all, under which lost are told from late
+LATE_SMOOTH = 0.1  # weight of one of them in that share
 SHORTEST = 2 * MS  # ns past its own sending time; with less time left no attempt is sent
 HOLD_MOST = 500 * MS  # ns a request waits for a usable member
 RETRY_AFTER = 200 * MS  # ns of advice in a refusal
@@ -179,6 +182,7 @@
         self.gains = Ranks()  # of recent fills
         self.spans = Ranks()  # of recent answers, time over sending time
         self.stuck: dict[tuple[int, int], Peer] = {}  # (request, attempt) of those out that stay away
+        self.late = 1.0  # smoothed share of such that came after all
         self.long: list[tuple[int, int, int]] = []  # (time, request, attempt) from which an answer stays away
         self.dense = Ranks()  # worth a second of sending, of recent requests
         self.link_use = USE_UNHEARD
@@ -298,33 +302,38 @@
             peer.out += 1
         entry.out[entry.sent] = (cache, source, self.now)
         if self.spans.ordered:
-            heapq.heappush(self.long, (self.now + LOST_AFTER * self._long(request), request.id, entry.sent))
+            heapq.heappush(self.long, (self.now + self._patience(entry), request.id, entry.sent))
         entry.sent += 1
         entry.tried.append(cache)
         entry.sources.append(source)
         return True
 
-    def _long(self, request: i.Request) -> int:
-        """How long (ns) an answer takes that is among the slowest of those that came lately."""
-        spans = self.spans.ordered
-        return int(spans[int(LONG_AT * len(spans))] * (SLOW_BASE + self._work(request)) * SECOND)
+    def _patience(self, entry: Open) -> int:
+        """From when on (ns) an answer stays away: longer than the slowest lately took, as in a jam all do."""
+        spans, usual = self.spans.ordered, (SLOW_BASE + self._work(entry.request)) * SECOND
+        long = spans[int(LONG_AT * len(spans))] * usual
+        early = max(long, entry.aim - self.now - AGAIN_IN * self.typical * usual)
+        return int(min(LOST_AFTER * long, early if self.late < LATE_MOST else math.inf))
 
     def _ask_again(self) -> None:
-        """What to do about an answer that stays away, though its cache has answered others since.
-
-        Departure. It takes no room any more, as no store works on it, and where there is room it is asked for
-        again: the same cache may hold the part by now. Guards against answers that never come.
+        """Departure: an answer that stays away, though its cache has answered others since, takes no room and
+        is asked for again where there is some: the cache may hold it by now. Guards against lost answers.
         """
         while self.long and self.long[0][0] <= self.now:
             _, ident, attempt = heapq.heappop(self.long)
             entry = self.open.get(ident)
-            cache, source, sent_at = entry.out.get(attempt, (None, None, 0)) if entry else (None, None, 0)
-            if entry is None or entry.done or cache is None or source is None or cache.answered <= sent_at:
+            if entry is None or entry.done or attempt not in entry.out:
+                continue
+            cache, source, sent_at = entry.out[attempt]
+            if cache.answered <= sent_at:  # it may be stuck itself: looked at again a little later
+                heapq.heappush(self.long, (self.now + int(SLOW_BASE * SECOND), ident, attempt))
                 continue
             self.stuck[ident, attempt] = cache
             cache.stuck += 1
-            safe = self.s.second_copies and self.s.classes[entry.request.cls].effect is i.Effect.SAFE
-            if safe and len(entry.out) == 1 and self.retries >= 1.0 and not self._full(entry):
+            again = self.s.second_copies and self.s.classes[entry.request.cls].effect is not i.Effect.UNSAFE
+            lost = self.late < LATE_MOST and all((ident, n) in self.stuck for n in entry.out)
+            if again and lost and self.retries >= 1.0 and not self._full(entry):
+                entry.maybe_ran = entry.maybe_ran or (cache.member, sent_at)  # _may_run_again looks at it
                 entry.tried.remove(cache)
                 entry.sources.remove(source)
                 self.retries -= self._attempt(entry)
@@ -437,7 +446,9 @@
             self._report(event.server, event.load)
         status = event.status
         stuck = self.stuck.pop((event.request, event.attempt), None)
-        cache.stuck -= stuck is not None
+        if stuck is not None:
+            cache.stuck -= 1
+            self.late += LATE_SMOOTH * ((status is i.Status.OK) - self.late)
         self._judge(event, cache, source)
         if stuck is None or status is not i.Status.TIMEOUT:
             self._size_room(entry, event)
@@ -491,10 +502,8 @@
                 heard = event.waited or event.latency
                 source.first_byte += (SMOOTH if source.first_byte else 1.0) * (heard - source.first_byte)
             return
-        if status is i.Status.CONNECT_FAILED:
-            return self._mark(cache, 1.0, DEAD_SMOOTH)
-        if status is i.Status.RESET:
-            return self._mark(cache, 1.0, RESET_SMOOTH)  # a connection's end says nothing of the source
+        if status in (i.Status.CONNECT_FAILED, i.Status.RESET):  # says nothing of the source
+            return self._mark(cache, 1.0, RESET_SMOOTH if status is i.Status.RESET else DEAD_SMOOTH)
         if note in SOURCE_FAULTS:
             self._mark(source, 1.0)
         if note in SOURCE_FAULTS or status is i.Status.MISS or note == i.Note.NO_FILL_PLACE:
@@ -611,18 +620,14 @@
             heapq.heappop(self.due)
         while self.long and self._over(self.long[0][1]):
             heapq.heappop(self.long)  # no timer for what is answered: it was one in three calls of this
-        at = min(self.due[0][0] if self.due else OPEN_EVER, self.ask_at)
-        if self.long:
-            at = min(at, self.long[0][0])
-        if self.held:
-            at = min(at, self.now + 50 * MS)
+        at = min(self.ask_at, self.now + 50 * MS if self.held else OPEN_EVER,
+                 *(heap[0][0] for heap in (self.due, self.long) if heap))  # fmt: skip
         if at < self.timer_at:
             self.timer_at = max(at, self.now + MS)
             self.actions.append(i.SetTimer(self.timer_at, 0))
 
     def _over(self, ident: int) -> bool:
-        entry = self.open.get(ident)
-        return entry is None or entry.done
+        return ident not in self.open or self.open[ident].done
 
     def _upkeep(self) -> None:
         """What falls due with time alone: ageing, placing, held requests, subscriptions, probes."""
@@ -736,19 +741,15 @@
             del table[ident]
 
     def _group(self, member: i.Member, scope: i.Scope) -> object:
-        if scope is i.Scope.CELL:
-            return (member.zone, member.cell)
-        return member.zone if scope is i.Scope.ZONE else None
+        return {i.Scope.CELL: (member.zone, member.cell), i.Scope.ZONE: member.zone}.get(scope)
 
     def _may_run_again(self, entry: Open, peer: Peer) -> bool:
         """No effect twice: whether one more attempt, at this peer, is allowed by the class."""
         cls = self.s.classes[entry.request.cls]
         if entry.maybe_ran is None or cls.effect is i.Effect.SAFE:
             return True
-        if cls.effect is i.Effect.UNSAFE:
-            return False
         member, sent = entry.maybe_ran
-        inside = self.now - sent < cls.window - max(self.s.tick, MS)
+        inside = cls.effect is i.Effect.KEYED and self.now - sent < cls.window - max(self.s.tick, MS)
         return inside and self._group(member, cls.group) == self._group(peer.member, cls.group)
 
     def _may_refuse(self, entry: Open) -> bool:
@@ -772,11 +773,9 @@
             peer = self.peers.get(member.server)
             if member.state is i.State.GONE:
                 self.peers.pop(member.server, None)
-            elif peer is None:
+            elif peer is None or member.started != peer.member.started:  # of a former life nothing holds
                 seed = int.from_bytes(blake2b(member.server, digest_size=8).digest(), "little")
                 self.peers[member.server] = Peer(member, seed)
-            elif member.started != peer.member.started:  # a restart: nothing learned of its former life holds
-                self.peers[member.server] = Peer(member, peer.seed)
             else:
                 peer.member = member
         ready = sorted((p for p in self.peers.values() if p.member.state is i.State.READY),
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from typing import Any
 
 import pytest
 
@@ -22,7 +23,7 @@
     TimerFired,
 )
 from hallproxy.logic import ERRORS_MOST, Open
-from tests.fleet import CACHES, FLEET, MS, NEAR, NEXT, ORIGIN, SECOND, Driver
+from tests.fleet import CACHES, FLEET, MS, NEAR, NEXT, ORIGIN, SECOND, SETTINGS, Driver
 
 
 def test_gain_is_the_sum_of_normalised_terms_over_the_size() -> None:
@@ -429,15 +430,25 @@
     d.router.peers[d.sent[ident][0].server].answered = d.now
 
 
+def knows_lost(**changed: Any) -> Driver:
+    """A router that has seen two answers get lost: their clients left, the caches served others."""
+    d = Driver(second_copies=True, **changed)
+    d.serve(50)
+    room = d.router.room
+    for obj in (90, 91):
+        lost = d.ask(obj=obj)
+        others_answer(d, lost)
+        d.wait(SECOND)
+        assert len(d.sent[lost]) == 1 and d.router._held_out() == 0  # it takes no room, but it might be late
+        d.handle(Outcome(lost, 0, d.sent[lost][0].server, Status.TIMEOUT, 4 * SECOND, True))
+    assert d.router.room >= room and not d.router.stuck
+    return d
+
+
 def test_an_answer_that_stays_away_is_asked_for_again_and_takes_no_room() -> None:
     """Only the client's leaving would show it; meanwhile, and as a time-out, it must not close the room."""
-    d = Driver(second_copies=True)
-    d.serve(50)
-    alone = d.ask(obj=100)
-    d.wait(2 * SECOND)  # its cache has answered nobody since: slow, for all that is known
-    assert len(d.sent[alone]) == 1 and not d.router.stuck
-    d.end(alone)
-    late, room = d.ask(obj=101), d.router.room
+    d = knows_lost()
+    late = d.ask(obj=101)
     others_answer(d, late)
     d.wait(SECOND)
     assert len(d.sent[late]) == 2 and d.sent[late][0].server == d.sent[late][1].server
@@ -447,20 +458,56 @@
     assert Cancel(late, 0) in told  # the first is given up: nobody waits for it any more
     d.handle(Outcome(late, 0, get.server, Status.CANCELLED, SECOND, True))
     assert late not in d.router.open and not any(p.out or p.stuck for p in d.router.caches)
-    lost = d.ask(obj=102)
-    others_answer(d, lost)
+    assert not d.router.stuck
+
+
+def test_a_second_attempt_comes_while_it_can_be_in_time_and_a_third_after_it() -> None:
+    """At twice the slowest's time a second attempt came after the aim of most."""
+    d = knows_lost()
+    d.router.spans.add(4.0)  # one of the slowest
+    late = d.ask(obj=101, size=100.0)
+    aim = d.router.open[late].aim
+    others_answer(d, late)
+    while len(d.sent[late]) < 2:
+        d.wait(10 * MS)
+    assert d.now + 1.5 * d.router.typical * 150 * MS <= aim + 10 * MS
+    others_answer(d, late)
     d.wait(SECOND)
-    d.handle(Outcome(lost, 0, d.sent[lost][0].server, Status.TIMEOUT, 4 * SECOND))
-    assert d.router.room >= room and not d.router.stuck
+    assert len(d.sent[late]) == 3
 
 
-def test_what_may_not_run_twice_gets_no_second_attempt() -> None:
-    d = Driver()
-    classes = tuple(replace(c, effect=Effect.KEYED) for c in d.settings.classes)
-    keyed = Driver(second_copies=True, classes=classes)
-    keyed.serve(50)
-    once = keyed.ask(obj=100)
-    others_answer(keyed, once)
-    keyed.wait(SECOND)
-    assert keyed.router.stuck
-    assert len(keyed.sent[once]) == 1
+def test_where_what_stays_away_comes_after_all_nothing_is_asked_for_twice() -> None:
+    """In a jam each second attempt would be more of what makes it one."""
+    d = knows_lost()
+    for obj in range(100, 120):
+        late = d.ask(obj=obj)
+        others_answer(d, late)
+        d.wait(SECOND)
+        for number, get in enumerate(d.sent[late]):
+            d.handle(Outcome(late, number, get.server, Status.OK, SECOND, True))
+    assert len(d.sent[late]) == 1 and d.router.late > 0.85
+
+
+def test_a_cache_that_answers_nobody_is_looked_at_again() -> None:
+    """It was looked at once, when it had answered nobody since; then waited for to its end."""
+    d = knows_lost()
+    alone = d.ask(obj=100)
+    d.now += MS
+    d.wait(SECOND)
+    assert len(d.sent[alone]) == 1 and not d.router.stuck  # slow, for all that is known
+    others_answer(d, alone)
+    d.wait(100 * MS)
+    assert len(d.sent[alone]) == 2
+
+
+@pytest.mark.parametrize(("effect", "sent"), [(Effect.KEYED, 2), (Effect.UNSAFE, 1)])
+def test_a_second_attempt_goes_out_only_as_the_class_allows(effect: Effect, sent: int) -> None:
+    classes = tuple(replace(c, effect=effect, window=1600 * MS) for c in SETTINGS.classes)
+    d = knows_lost(classes=classes)
+    for again in (sent, 1):
+        late = d.ask(obj=100 + again, size=100.0)
+        if again == 1:
+            d.now += 1600 * MS  # the stores remember its key no longer
+        others_answer(d, late)
+        d.wait(SECOND)
+        assert (late, 0) in d.router.stuck and len(d.sent[late]) == again
