--- a/hallproxy/logic.py
+++ b/hallproxy/logic.py
@@ -57,7 +57,7 @@
 LOST_AFTER = 2  # ...from this many times that on, or, where lost ones are told from late ones, earlier: ...
 AGAIN_IN = 1.5  # ...so that another, in this many times the usual time, would still be in time
 LATE_MOST = 0.85  # share of those that stayed away and came after all, under which lost are told from late
-LATE_SMOOTH = 0.1  # weight of one of them in that share
+LATE_FIRST, LATE_SMOOTH = 0.8, 0.1  # that share until any are known; weight of one of them in it
 SHORTEST = 2 * MS  # ns past its own sending time; with less time left no attempt is sent
 HOLD_MOST = 500 * MS  # ns a request waits for a usable member
 RETRY_AFTER = 200 * MS  # ns of advice in a refusal
@@ -182,7 +182,7 @@
         self.gains = Ranks()  # of recent fills
         self.spans = Ranks()  # of recent answers, time over sending time
         self.stuck: dict[tuple[int, int], Peer] = {}  # (request, attempt) of those out that stay away
-        self.late = 1.0  # smoothed share of such that came after all
+        self.late = LATE_FIRST  # smoothed share of such that came after all
         self.long: list[tuple[int, int, int]] = []  # (time, request, attempt) from which an answer stays away
         self.dense = Ranks()  # worth a second of sending, of recent requests
         self.link_use = USE_UNHEARD
