The drain ends by itself where clients go on connecting and asking

Seen: with a client that connects anew every 50 ms the drain ran until SIGKILL. Faulty: run/main.py drain waited for 0.3 s without a connection or request, while it listened on. Now it stops listening 0.8 s after SIGTERM (new connections come for 0.4 s at most) and waits for that quiet no longer than 3 s; open answers are waited for as before.

--- a/hallproxy/run/main.py
+++ b/hallproxy/run/main.py
@@ -36,7 +36,8 @@
 CALL = 16 * 1024  # bytes that an open request is taken to hold, its body and its attempts included
 ACCEPT_FOR = 0.8  # s after SIGTERM in which new connections and requests may still come
 NO_MORE_AFTER = 0.45  # s after SIGTERM at which clients are told, once the front has turned away
-QUIET_FOR = 0.3  # s without a new request or connection before the end
+QUIET_FOR = 0.3  # s without a new request or connection before the end, ...
+QUIET_MOST = 3.0  # ...if that comes within so many s of SIGTERM: some may go on asking, though told
 SECOND = 1_000_000_000
 
 
@@ -73,6 +74,13 @@
     host, port = config.listen
     listeners = bind_sockets(port, host, backlog=512)
     stops: list[Callable[[], None]] = [add_accept_handler(sock, clients.accept) for sock in listeners]
+
+    def deaf() -> None:
+        for stop in stops:
+            stop()
+        for sock in listeners:
+            sock.close()
+
     poller, tasks = None, []
     if config.changelog is not None:
         poller = Poller(loop, config.changelog, since)
@@ -98,33 +106,33 @@
 
     tasks.append(asyncio.ensure_future(signals.reloads(reload)))
     await signals.stopped.wait()
-    await drain(clients, loop)
-    for stop in stops:
-        stop()
-    for sock in listeners:
-        sock.close()
+    await drain(clients, loop, deaf)
     for task in tasks:
         task.cancel()
 
 
-async def drain(clients: Clients, loop: Loop) -> None:
+async def drain(clients: Clients, loop: Loop, deaf: Callable[[], None]) -> None:
     """After SIGTERM: take what still comes, answer all of it, then return.
 
-    New connections come until the front has noticed; a client told too early would only open another one.
+    New connections come until the front has noticed; a client told too early would only open another one. Who
+    connects long after that is turned away: one that never stops would keep the drain from its end.
     """
     clock = asyncio.get_running_loop().time
     began = clock()
     say("stopping: no new work is asked for")
-    told = False
+    told, listens = False, True
     while True:
         await asyncio.sleep(0.02)
         if clock() - began >= NO_MORE_AFTER:
             told = True
             for connection in list(clients.connections):
                 connection.no_more()
+        if listens and clock() - began >= ACCEPT_FOR:
+            listens = False
+            deaf()
         unsent = any(connection.unsent for connection in clients.connections)
-        quiet = clock() - max(clients.asked_at, began) >= QUIET_FOR
-        if told and clock() - began >= ACCEPT_FOR and quiet and not loop.state.callers and not unsent:
+        quiet = clock() - max(clients.asked_at, began) >= QUIET_FOR or clock() - began >= QUIET_MOST
+        if told and not listens and quiet and not loop.state.callers and not unsent:
             break
     say(f"own copies served {loop.state.own_served}, hold {loop.state.copies.held} bytes")
     say("stopped: all is answered")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import signal
 import socket
@@ -372,6 +373,36 @@
     assert platform.program.wait() == 0
 
 
+def test_sigterm_ends_also_where_clients_go_on_asking(start: Callable[..., Platform]) -> None:
+    """Told to send nothing new and turned away, they must not keep the drain from its end until SIGKILL."""
+    platform = start()
+    old, over = platform.client(), threading.Event()
+
+    def connects() -> None:
+        with contextlib.suppress(OSError, AssertionError):
+            while not over.wait(0.05):
+                made = platform.client()
+                made.ask()
+                made.read()
+
+    def asks() -> None:
+        with contextlib.suppress(OSError):
+            while not over.wait(0.05):
+                old.ask()
+
+    threads = [threading.Thread(target=x, daemon=True) for x in (connects, asks)]
+    for thread in threads:
+        thread.start()
+    until(lambda: platform.seen)
+    platform.program.process.send_signal(signal.SIGTERM)
+    try:
+        assert platform.program.wait() == 0
+    finally:
+        over.set()
+    for thread in threads:
+        thread.join(5)
+
+
 def test_sigkill_and_a_clean_start(start: Callable[..., Platform]) -> None:
     platform = start()
     platform.tell(invalidate={"object": f"{9:016x}", "time": now_ms()})
