--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -114,6 +114,7 @@
 
     def __init__(self, reply: Reply) -> None:
         self.reply = reply
+        self.halts = False  # after half an answer: stays open and quiet
         self.seen: list[Seen] = []
         self.listener = Listener(self._serve)
         self.address = self.listener.address
@@ -131,6 +132,8 @@
             made.sendall(said)
             head, _, body = said.partition(b"\r\n\r\n")
             if b"Content-Length: %d\r" % len(body) not in head + b"\r":
+                if self.halts:
+                    file.read(1)
                 return  # a half answer is followed by a close
 
 
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -494,6 +494,18 @@
         assert got.status == 200 and got.body == stand.files[name]
 
 
+def test_a_file_that_stops_halfway_on_an_open_connection_is_asked_for_again(front: Front) -> None:
+    """It would take the request's whole time of 30 s; its reader has left long before."""
+    front.start()
+    stand, url, count = front.stands[0], front.urls()["a-1.whl"], iter(range(100))
+    stand.http.halts = True
+    half = response(200, stand.files["a-1.whl"])[:-100]
+    stand.hook = lambda seen: half if seen.path.startswith("/pool/") and next(count) == 0 else b"pass"
+    got = front.get(url)
+    assert (got.status, got.body) == (200, stand.files["a-1.whl"])
+    assert [s.path for s in stand.http.seen].count("/pool/a-1.whl") == 2
+
+
 def test_sighup_reads_the_deploy_file_anew(front: Front) -> None:
     front.start()
     front.urls()
