Second front: places and core time by network, bodies and unread answers by team, use page

Need: the second front closed a connection unanswered once 256 were open, whoever held them, and a flood took the core's time ahead of any contract.

Change: connections and the core's time are divided by network before a team is known (weighted max-min; the time by how late the process is for its own timer); who is turned away gets ready-made bytes with Retry-After. Large bodies leave a quarter of their room to small ones; unread answers over the bound cost the team that leaves most. Requests carry their address, and Retry-After answers' repeats are told by Retry-Attempt. /.use shows a team its own use and an operator all of it.

--- a/hallproxy/broker/places.py
+++ b/hallproxy/broker/places.py
@@ -90,9 +90,9 @@
         network = self._of(name, now)
         if self.held >= self.most:
             return False
-        others = len(self._networks) > 1
-        spare = self.most - (self.most // KEPT_BACK if others else 0)
-        if self.held >= spare and network.held >= self.share(network):
+        # The last ones are for who holds little, also while a flood is alone: others may come.
+        few = min(self.share(network), self.most / 2)
+        if self.held >= self.most - self.most // KEPT_BACK and network.held >= few:
             return False
         network.held += 1
         self.held += 1
@@ -161,6 +161,19 @@
                 network.part = 1.0
         self._divide(busy)
 
+    def shown(self) -> dict[str, object]:
+        """Connections, requests a second that there is time for (0: not short), the largest networks."""
+        most = sorted(self._networks.items(), key=lambda x: -x[1].rate)[:10]
+        return {
+            "connections": self.held,
+            "of": self.most,
+            "rate_limit": round(self.limit),
+            "networks": {
+                name: {"connections": n.held, "rate": round(n.rate, 1), "passes": round(n.part, 3)}
+                for name, n in most
+            },
+        }
+
     def _divide(self, busy: list[_Network]) -> None:
         """Weighted max-min of the rate: who asks for less than its part leaves the rest to the others."""
         left = self.limit
--- a/hallproxy/run/repository.py
+++ b/hallproxy/run/repository.py
@@ -12,16 +12,22 @@
 import binascii
 import hashlib
 import hmac
+import json
 import socket
+from collections import Counter
 from collections.abc import Mapping
+from dataclasses import dataclass
 from email.utils import formatdate
 
 from tornado.iostream import StreamClosedError
 
+from hallproxy.broker.networks import neighbourhood
+from hallproxy.broker.places import Places
 from hallproxy.run.contracts import Applied
 from hallproxy.run.loop import Loop, say
 from hallproxy.run.repository_config import INDEX, PACKAGE
 from hallproxy.run.sockets import Buffer, Stream, stream
+from hallproxy.run.turnaway import NO_ROOM, TurnAway
 from hallproxy.state.events import Answer, Arrived, Asked, CallerLeft, Reason, Verdict
 from hallproxy.wire import simple
 from hallproxy.wire.http1 import Head, HttpError, request_head
@@ -69,6 +75,8 @@
     Reason.ABSENT: "the upstream repository does not have it",
     Reason.REPLACED: "the bytes that the index named are gone",
 }
+LAG_EVERY = 0.01  # s between looks at how late the process is
+USE_PATH = "/.use"
 BACK = "read the index again: "  # how an error sends a client back
 
 
@@ -87,46 +95,109 @@
     return Response(status, f"{text}\n".encode(), fields)
 
 
+@dataclass(slots=True, frozen=True)
+class Who:
+    """Who asks: the team, where from, and whether the client has asked for the same before."""
+
+    team: str
+    address: str
+    repeat: bool
+
+
+class Seat:
+    """One client's connection: whose it is, and the place that it holds until it ends."""
+
+    __slots__ = ("made", "address", "network", "team", "unsent", "held")
+
+    def __init__(self, made: Stream, address: str, network: str) -> None:
+        self.made, self.address, self.network = made, address, network
+        self.team = ""  # of the latest request
+        self.unsent = 0  # bytes that the client has not taken yet
+        self.held = True
+
+
 class Repository:
     def __init__(self, loop: Loop, most: int) -> None:
         self.loop = loop
         self.applied = Applied()  # teams' tokens and services' projects; read anew with the contracts
         self._classes = {c.name: n for n, c in enumerate(loop.state.settings.classes)}
-        self._most = most
+        self.places = Places(most)
+        self.turn_away = TurnAway()
         self.busy = 0  # requests taken whose answer has not left
         self.stopping = False
-        self._unsent = 0  # bytes that clients have not taken yet
+        self._unsent = 0  # bytes of answers that clients have not taken yet
+        self._slow: set[Seat] = set()  # connections with such bytes
+        self._idle: dict[Seat, None] = {}  # connections with nothing asked, the longest idle first
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def accept(self, sock: socket.socket, _: object) -> None:
-        if len(self._tasks) >= self._most:
-            sock.close()
-            return
-        task = asyncio.get_running_loop().create_task(self._serve(stream(sock)))
+    def accept(self, sock: socket.socket, peer: tuple[str, int]) -> None:
+        """Take a connection if there is a place and time for it; else it is told when to come back."""
+        address, now = peer[0], self.loop.now()
+        network = neighbourhood(address)
+        if not self.places.connect(network, now):
+            if not self._make_room(network) or not self.places.connect(network, now):
+                return self.turn_away.take(sock)
+        if not self.places.request(network, now):  # a connection is opened to ask
+            self.places.leave(network)
+            return self.turn_away.take(sock)
+        seat = Seat(stream(sock), address, network)
+        task = asyncio.get_running_loop().create_task(self._serve(seat))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _leave(self, seat: Seat) -> None:
+        if seat.held:
+            seat.held = False
+            self.places.leave(seat.network)
+
+    def _make_room(self, network: str) -> bool:
+        """Close the connection that has idled longest, of a network over its share, for one under it."""
+        if self.places.over(network):
+            return False
+        seat = next((s for s in self._idle if self.places.over(s.network)), None)
+        if seat is None:
+            return False
+        del self._idle[seat]
+        self._leave(seat)  # its task ends a little later
+        seat.made.close()
+        return True
+
+    async def watch_lag(self) -> None:
+        """How late the process is for a timer of its own: the sign that the core's time runs short."""
+        running = asyncio.get_running_loop()
+        while True:
+            due = running.time() + LAG_EVERY
+            await asyncio.sleep(LAG_EVERY)
+            self.places.lagged(int(max(0.0, running.time() - due) * SECOND), self.loop.now())
+
     async def close(self) -> None:
         """End the connections that are left, once all that was taken is answered."""
+        self.turn_away.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    async def _serve(self, made: Stream) -> None:
-        reader, wait = _Reader(made), FIRST_IN
+    async def _serve(self, seat: Seat) -> None:
+        reader, wait = _Reader(seat.made), FIRST_IN
         try:
             while True:
+                self._idle[seat] = None
                 try:
                     head = await asyncio.wait_for(reader.head(), wait)
                     if head.chunked or head.length:
                         raise HttpError("a request with a body")
                 except HttpError as error:
-                    return await self._write(made, plain(400, str(error)), False, False)
+                    return await self._write(seat, plain(400, str(error)), False, False)
+                self._idle.pop(seat, None)
+                if wait == IDLE and not self.places.request(seat.network, self.loop.now()):
+                    # Not the first one, which was counted when the connection was taken.
+                    seat.made.gather([NO_ROOM])
+                    continue
                 self.busy, wait = self.busy + 1, IDLE
                 try:
-                    response = await self._answer_or_leave(reader, head)
+                    response = await self._answer_or_leave(reader, head, seat)
                     keeps = head.keeps and not self.stopping
-                    await self._write(made, response, head.method == "HEAD", keeps)
+                    await self._write(seat, response, head.method == "HEAD", keeps)
                 finally:
                     self.busy -= 1
                 if not keeps:
@@ -134,11 +205,13 @@
         except (StreamClosedError, OSError, TimeoutError):
             pass
         finally:
-            made.close()
+            self._idle.pop(seat, None)
+            self._leave(seat)
+            seat.made.close()
 
-    async def _answer_or_leave(self, reader: _Reader, head: Head) -> Response:
+    async def _answer_or_leave(self, reader: _Reader, head: Head, seat: Seat) -> Response:
         """The answer; if the client leaves while it is made, what is out for it is given up too."""
-        work = asyncio.ensure_future(self._answer(head))
+        work = asyncio.ensure_future(self._answer(head, seat))
         ahead = reader.ahead()
         try:
             await asyncio.wait((work, ahead), return_when=asyncio.FIRST_COMPLETED)
@@ -150,9 +223,11 @@
                 work.cancel()
                 await asyncio.gather(work, return_exceptions=True)
 
-    async def _answer(self, head: Head) -> Response:
+    async def _answer(self, head: Head, seat: Seat) -> Response:
         if head.method not in ("GET", "HEAD"):
             return plain(405, "only GET and HEAD are served", Allow="GET, HEAD")
+        if head.target == USE_PATH:
+            return self._use(head)
         wanted = simple.read_target(head.target)
         if wanted is None:
             return plain(404, "nothing is served here")
@@ -161,19 +236,21 @@
         team = self._team(head)
         if team is None:
             return plain(401, "a team and its token are needed", WWW_Authenticate='Basic realm="hallproxy"')
+        seat.team = team
+        who = Who(team, seat.address, head.fields.get("retry-attempt", "0") not in ("", "0"))
         media = simple.choose(head.fields.get("accept", ""))
         if not wanted.file and media is None:
             return plain(406, f"indexes are served as {simple.JSON}, {simple.HTML} and {simple.PLAIN_HTML}")
         began = self.loop.now()
         path = f"/simple/{wanted.project}/" if wanted.project else "/simple/"
-        said = await self._ask(team, wanted, INDEX, path, began)
+        said = await self._ask(who, wanted, INDEX, path, began)
         if said.verdict is not Verdict.SERVED:
             return self._error(said, "")
         index = simple.unpack_index(said.body, wanted.project)
         held = head.fields.get("if-none-match", "")
         if not wanted.file:
             return self._index(said, index, media or simple.PLAIN_HTML, held)
-        return await self._file(team, wanted, index, held, began, path)
+        return await self._file(who, wanted, index, held, began, path)
 
     def _index(self, said: Answer, index: simple.Index, media: str, held: str) -> Response:
         body = simple.render(index, media)
@@ -186,7 +263,7 @@
         return Response(200, body, fields)
 
     async def _file(
-        self, team: str, wanted: simple.Wanted, index: simple.Index, held: str, began: int, path: str
+        self, who: Who, wanted: simple.Wanted, index: simple.Index, held: str, began: int, path: str
     ) -> Response:
         file = index.file(wanted.file)
         link = f'<{path}>; rel="index"'
@@ -196,7 +273,7 @@
             # The index was replaced while the client was halfway through the one it holds.
             return plain(410, f"{BACK}{path} names other bytes for {wanted.file} now", Link=link)
         tag = wanted.digest if simple.same(wanted.digest, held) else ""
-        said = await self._ask(team, wanted, PACKAGE, file.url, began, tag, (file.size or 0) / 1000)
+        said = await self._ask(who, wanted, PACKAGE, file.url, began, tag, (file.size or 0) / 1000)
         if said.verdict is not Verdict.SERVED:
             if said.reason in (Reason.ABSENT, Reason.REPLACED):
                 return plain(410, f"{BACK}{path} ({WORDS[said.reason]})", Link=link)
@@ -219,7 +296,7 @@
 
     async def _ask(
         self,
-        team: str,
+        who: Who,
         wanted: simple.Wanted,
         cls: str,
         name: str,
@@ -244,7 +321,9 @@
             group=obj & 0xFF,
             size_kb=size_kb,
             held=held,
-            team=team,
+            team=who.team,
+            address=who.address,
+            repeat=who.repeat,
             service=self.applied.service_of(wanted.project),
             digest=digest,
         )
@@ -270,7 +349,22 @@
         known = self.applied.tokens.get(team, "")
         return team if scheme.lower() == "basic" and known and hmac.compare_digest(said, known) else None
 
-    async def _write(self, made: Stream, response: Response, head_only: bool, keeps: bool) -> None:
+    def _use(self, head: Head) -> Response:
+        """A team's own use of its contracts; all teams', and the room there is, for operators."""
+        broker = self.loop.state.broker
+        if broker is None:
+            return plain(404, "no contracts are kept here")
+        team = self._team(head)
+        if team is None:
+            return plain(401, "a team and its token are needed", WWW_Authenticate='Basic realm="hallproxy"')
+        whole = broker.contracts.team(team).operator
+        shown = broker.shown(self.loop.now(), "" if whole else team)
+        if whole:
+            shown["places"] = self.places.shown() | {"turned_away": self.turn_away.count}
+        fields = {"Content-Type": "application/json", "Cache-Control": "no-store"}
+        return Response(200, json.dumps(shown).encode(), fields)
+
+    async def _write(self, seat: Seat, response: Response, head_only: bool, keeps: bool) -> None:
         lines = [f"HTTP/1.1 {response.status} {PHRASES[response.status]}"]
         lines += [f"{name}: {value}" for name, value in response.fields.items()]
         lines.append(f"Date: {formatdate(usegmt=True)}")
@@ -279,22 +373,37 @@
         if not keeps:
             lines.append("Connection: close")
         head = "\r\n".join([*lines, "", ""]).encode()
+        made = seat.made
         made.gather([head] if head_only or not response.body else [head, response.body])
-        self._unsent += made.unsent
-        if self._unsent > UNSENT_MOST:
+        if not made.writing():
+            return
+        # Backpressure: the next request is not read before this answer has left.
+        seat.unsent = made.unsent
+        self._unsent += seat.unsent
+        self._slow.add(seat)
+        try:
+            self._shed()
+            await asyncio.wait_for(made.write(b""), WRITE)
+        except TimeoutError:
+            say("a repository client does not read its answer: closed")
+            raise
+        finally:
+            self._slow.discard(seat)
+            self._unsent -= seat.unsent
+
+    def _shed(self) -> None:
+        """Over the bound, the team that leaves most unread loses its largest answer: never another's."""
+        while self._unsent > UNSENT_MOST and self._slow:
+            by_team: Counter[str] = Counter()
+            for seat in self._slow:
+                by_team[seat.team] += seat.unsent
+            most = by_team.most_common(1)[0][0]
+            slow = max((s for s in self._slow if s.team == most), key=lambda s: s.unsent)
             say("repository clients read too slowly: one is closed")
-            self._unsent -= made.unsent
-            return made.close()
-        if made.writing():
-            # Backpressure: the next request is not read before this answer has left.
-            waiting = made.unsent
-            try:
-                await asyncio.wait_for(made.write(b""), WRITE)
-            except TimeoutError:
-                say("a repository client does not read its answer: closed")
-                raise
-            finally:
-                self._unsent -= waiting
+            self._slow.discard(slow)
+            self._unsent -= slow.unsent
+            slow.unsent = 0
+            slow.made.close()
 
 
 class _Reader:
--- a/hallproxy/run/repository_main.py
+++ b/hallproxy/run/repository_main.py
@@ -38,6 +38,7 @@
         idle=config.settings.idle_close or 10 * SECOND,
         copies=config.copies_most,
         bodies=64 * MB,
+        small=MB,
     )
 
 
@@ -64,14 +65,16 @@
     contracts = Watch(config.contracts, loop, front) if config.contracts is not None else None
     if contracts is not None:
         contracts.look(first=True)
-    tasks = [asyncio.ensure_future(contracts.run())] if contracts is not None else []
+    tasks = [asyncio.ensure_future(front.watch_lag())]
+    if contracts is not None:
+        tasks.append(asyncio.ensure_future(contracts.run()))
     poller = None
     if config.changelog is not None:
         loop.bring(NewsHeard(loop.now()))
         poller = Poller(loop, config.changelog, 0)
         tasks.append(asyncio.ensure_future(poller.run()))
     host, port = config.listen
-    listeners = bind_sockets(port, host, family=socket.AF_INET, backlog=256)
+    listeners = bind_sockets(port, host, family=socket.AF_INET, backlog=1024)
     stops = [add_accept_handler(sock, front.accept) for sock in listeners]
     say(f"repository listens on {host}:{listeners[0].getsockname()[1]}")
 
--- a/hallproxy/run/sockets.py
+++ b/hallproxy/run/sockets.py
@@ -83,26 +83,33 @@
 
 
 class Budget:
-    """Bytes of bodies that may be held at once. Who finds no room waits, and so does its sender."""
+    """Bytes of bodies that may be held at once. Who finds no room waits, and so does its sender.
 
-    def __init__(self, most: Callable[[], int]) -> None:
-        self._most = most  # asked each time: a reload may change it
+    Bodies over ``small`` bytes leave the last quarter to those under it, and the two wait in lines of their
+    own: a flood of large ones must not make the small ones wait. With ``small`` 0 all are alike.
+    """
+
+    def __init__(self, most: Callable[[], int], small: Callable[[], int] = lambda: 0) -> None:
+        self._most, self._small = most, small  # asked each time: a reload may change them
         self._held = 0
-        self._waiting: deque[asyncio.Future[None]] = deque()
+        self._waiting: tuple[deque[asyncio.Future[None]], ...] = (deque(), deque())  # small, large
 
     async def take(self, size: int) -> None:
-        while self._held and self._held + size > self._most():
+        small = self._small()
+        large = 0 < small < size
+        while self._held and self._held + size > self._most() * (3 if large else 4) // 4:
             waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-            self._waiting.append(waiter)
+            self._waiting[large].append(waiter)
             await waiter
         self._held += size
 
     def give(self, size: int) -> None:
         self._held -= size
-        while self._waiting:
-            waiter = self._waiting.popleft()
-            if not waiter.done():
-                waiter.set_result(None)
+        for line in self._waiting:
+            while line:
+                waiter = line.popleft()
+                if not waiter.done():
+                    waiter.set_result(None)
 
 
 class Buffer:
--- a/hallproxy/run/stores.py
+++ b/hallproxy/run/stores.py
@@ -38,7 +38,7 @@
 
     def __init__(self, loop: Loop, speech: Speech) -> None:
         self._loop = loop
-        self._budget = Budget(lambda: loop.state.bounds.bodies)
+        self._budget = Budget(lambda: loop.state.bounds.bodies, lambda: loop.state.bounds.small)
         self._speech = speech
         self._orders: dict[int, tuple[Order, int]] = {}  # by link: the last one sent, and when
         self._streams: dict[int, Stream] = {}
@@ -143,9 +143,7 @@
     raise HttpError("interim answers and no final one")
 
 
-async def read_body(
-    made: Stream, buffer: Buffer, head: Head, most: int, pause: float | None = None
-) -> bytes:
+async def read_body(made: Stream, buffer: Buffer, head: Head, most: int, pause: float | None = None) -> bytes:
     """A response's body, whole. One cut short raises; it is never taken for a whole one."""
     length = head.length
     if length is not None:
--- a/hallproxy/state/bounds.py
+++ b/hallproxy/state/bounds.py
@@ -13,6 +13,7 @@
     callers: int = 250  # clients' connections
     calls: int = 1_000  # requests open at once
     bodies: int = 32 * MB  # bytes of bodies that are being read from stores
+    small: int = 0  # bytes of a body that may also use the last quarter of them; 0: all alike
     unsent: int = 24 * MB  # bytes that all clients together leave unread
     idle: int = 10**10  # ns; how long an idle connection to a store is kept
     copies: int = 0  # bytes of own copies
