--- a/hallproxy/lab/source.py
+++ b/hallproxy/lab/source.py
@@ -1,4 +1,4 @@
-"""A stand-in upstream repository: so many servers, each busy for so long with a request, one queue before them.
+"""A stand-in upstream repository: servers that are each busy for so long, and one queue before them.
 
     python -m hallproxy.lab.source --servers 8 --took-ms 20
 
--- a/hallproxy/logic.py
+++ b/hallproxy/logic.py
@@ -248,14 +248,9 @@
         margin = max(2 * self.s.tick, MS)
         # Caches keep each part by itself, so the part is the paper's "object v": its hash spreads a film's
         # parts over the caches. Hashed whole, one film in demand filled a single cache's link.
-        entry = Open(
-            request,
-            self.now,
-            self.now + request.left - margin,
-            self.now + cls.aim + int(cls.aim_stretch * work * SECOND),
-            mix(request.object * 1_000_003 + request.part & M64),
-            cls.worth / max(1e-3, work),
-        )
+        entry = Open(request, self.now, self.now + request.left - margin,
+                     self.now + cls.aim + int(cls.aim_stretch * work * SECOND),
+                     mix(request.object * 1_000_003 + request.part & M64), cls.worth / max(1e-3, work))
         self.open[request.id] = entry
         heapq.heappush(self.due, (entry.until, request.id))
         self.counts[request.object] = self.counts.get(request.object, 0.0) + 1.0
@@ -786,11 +781,8 @@
         ready = sorted((p for p in self.peers.values() if p.member.state is i.State.READY),
                        key=lambda p: p.member.server)  # fmt: skip
         s = self.s
-        self.caches = [
-            p
-            for p in ready
-            if p.member.kind not in (s.parent_kind, s.origin_kind) and p.member.zone == s.zone
-        ]
+        self.caches = [p for p in ready
+                       if p.member.kind not in (s.parent_kind, s.origin_kind) and p.member.zone == s.zone]
         hubs, home = sorted(set(s.zone_hub)), s.zone_hub[s.zone]
         tiers: dict[int, list[Peer]] = {}
         for peer in ready:
--- a/hallproxy/wire/simple.py
+++ b/hallproxy/wire/simple.py
@@ -325,3 +325,4 @@
         except BadIndex:
             return Result(i.Status.ERROR, reason=Reason.ERROR)
         return Result(i.Status.OK, packed, False, hashlib.sha256(packed).hexdigest(), born)
+
