Time of the core by finished work and mean lag; own lag is no queue at the source

Three things were wrong. The rate cut started from what was let in, not from what was finished; the worst lag of a round was taken for the round's; and the gateway's own lag in an answer's time was taken for a queue at the source, so capacity fell to 2.

Change: the rate follows finished requests and the mean lag, with a floor at what was lately done; the core hears of the lag (Lagged) and capacity takes it off. A connection is accepted once it has spoken (TCP_DEFER_ACCEPT); heads are read without a task each; a client's leaving ends the wait for the core without a task of its own.

--- a/hallproxy/broker/capacity.py
+++ b/hallproxy/broker/capacity.py
@@ -39,6 +39,9 @@
 HALVED = 0.55  # part of its limit at which a run of cuts is looked at: had it been a queue, ...
 STAYED = 0.75  # ...the latency would have fallen under this part of what it was
 FASTER = 0.8  # bases under which a median shows that the base is too long
+OWN_LEAST = 2 * MS  # ns of each latency that are taken to be the gateway's own...
+OWN_TIMES = 2.0  # ...or this many times what it lags behind: an answer waits for the core twice
+OWN_SMOOTH = 0.3
 KINDS_MOST = 64  # kinds of requests whose base is held, of one source
 UNUSED = 5 * SECOND  # ns without an attempt after which a source's limit counts no more
 FORGET = 60 * SECOND  # ns without an attempt after which a source is forgotten
@@ -80,6 +83,7 @@
     def __init__(self, most: float = 256.0, first: float = FIRST) -> None:
         self.most, self.first = most, first
         self.sources: OrderedDict[bytes, Source] = OrderedDict()
+        self._own = float(OWN_LEAST)  # ns of an answer's latency that are the gateway's own
         self._used_at = 0  # when any source was last used
         self.moves = 0  # how often a limit fell; operators see it
 
@@ -90,6 +94,10 @@
         total = sum(s.allowed() for s in used) if used else self.first
         return max(1, int(min(self.most, total)))
 
+    def lagged(self, lag: int) -> None:
+        """The gateway itself is so late (ns) for what it does. Guards against taking that for a queue."""
+        self._own += OWN_SMOOTH * (max(float(OWN_LEAST), OWN_TIMES * lag) - self._own)
+
     def forget(self, now: int) -> None:
         """Drop what is known of sources that have long got nothing."""
         for name in [n for n, s in self.sources.items() if not s.out and now - s.used_at > FORGET]:
@@ -121,7 +129,7 @@
                 return  # it waited behind what was out before the limit fell: no second cut for one queue
             if source.looks and len(known.looked) < LOOKED_MOST:
                 known.looked.append(max(1.0, latency))
-            source.answers.append(latency / known.base if known.base else 1.0)
+            source.answers.append(latency / (known.base + self._own) if known.base else 1.0)
         elif lost:
             source.lost += 1
         self._window(source, now)
@@ -164,7 +172,7 @@
         """The window in which the limit was held down is over: what it measured is the base."""
         for known in source.kinds.values():
             if known.looked:
-                found = statistics.median(known.looked)
+                found = max(float(MS), statistics.median(known.looked) - self._own)
                 # Half way up, at once down: one window in which others kept the source busy misleads little.
                 known.base = (known.base + found) / 2 if known.base and found > known.base else found
                 known.looked.clear()
--- a/hallproxy/broker/places.py
+++ b/hallproxy/broker/places.py
@@ -21,12 +21,16 @@
 ACTIVE_FOR = 10 * SECOND  # ns since its last connection or request for which a network counts
 NETWORKS_MOST = 4_096  # networks held; over that all strangers count as one
 ROUND = 100 * MS  # ns between looks at rates
-LAG = 25 * MS  # ns behind its timers from which the core is short of time
-CUT = 0.85  # ...and the rate is cut so at each round
-RISE = 0.03  # part by which a rate in use rises at each round in time
+LAG = 4 * MS  # ns behind its timers, in the mean of a round, from which the core is short of time
+CUT = 0.9  # ...and the rate falls to this part of what is done...
+CUT_EVERY = 300 * MS  # ns...at most so often: what passed before is still being worked off
+RISE = 0.02  # part by which a rate in use rises at each round in time...
+RISE_IDLE = 0.08  # ...and at one that was hardly late at all
+IN_USE = 0.7  # share of the rate in use from which it rises
+FLOOR = 0.6  # of the best rate lately done, under which it does not fall...
+BEST_FADES = 0.995  # ...which fades by so much in a round
 RATE_LEAST = 50.0  # requests a second that are always read
 SMOOTH = 0.3  # weight of a round in a network's arrival rate
-REFUSAL = 0.1  # what turning one away costs, in requests answered
 OTHERS = "others"
 
 
@@ -51,9 +55,12 @@
         self._networks: OrderedDict[str, _Network] = OrderedDict()
         self._weight = 0.0  # of all networks held
         self._round_at = 0
-        self._passed = 0
+        self._finished = 0  # requests answered in the round
+        self._best = 0.0  # the most that was lately done a second
+        self._cut_at = 0
         self._away = 0
-        self._lag = 0
+        self._lag, self._looks = 0, 0  # sum and count of the round
+        self._done = 0.0  # requests done a second, smoothed
 
     def _of(self, name: str, now: int) -> _Network:
         network = self._networks.get(name)
@@ -118,37 +125,35 @@
         network = self._of(name, now)
         network.arrived += 1
         if not self.limit or network.part >= 1.0:
-            self._passed += 1
             return True
         network.credit += network.part
         if network.credit >= 1.0:
             network.credit -= 1.0
-            self._passed += 1
             return True
         self._away += 1
         return False
 
     def lagged(self, lag: int, now: int) -> None:
-        """The core was so late (ns) for a timer of its own. The worst of a round counts."""
-        self._lag = max(self._lag, lag)
+        """The core was so late (ns) for a timer of its own."""
+        self._lag += lag
+        self._looks += 1
         if now - self._round_at >= ROUND:
             self._turn(now)
 
+    def finished(self) -> None:
+        """A request that passed has its answer: what the core does is measured by these."""
+        self._finished += 1
+
     def _turn(self, now: int) -> None:
         long = max(ROUND, now - self._round_at) / SECOND
         first = not self._round_at
         self._round_at = now
-        done = (self._passed + REFUSAL * self._away) / long
+        done = self._finished / long
+        self._done += (SMOOTH if self._done else 1.0) * (done - self._done)
+        self._best = max(self._best * BEST_FADES, self._done)
         if not first:
-            if self._lag > LAG:
-                # What was done in the round is what can be done: a cut starts from there, not from a guess.
-                self.limit = max(RATE_LEAST, min(self.limit or done, max(done, RATE_LEAST)) * CUT)
-            elif self.limit:
-                in_use = done >= 0.7 * self.limit
-                self.limit = self.limit * (1.0 + RISE) if in_use or self._away else self.limit
-                if not self._away and done < self.limit / 3:
-                    self.limit = 0.0  # far from short: nothing is to be divided
-        self._passed = self._away = self._lag = 0
+            self._aim(self._lag / max(1, self._looks), now)
+        self._finished = self._away = self._lag = self._looks = 0
         busy = []
         for network in self._networks.values():
             network.rate += SMOOTH * (network.arrived / long - network.rate)
@@ -174,6 +179,19 @@
             },
         }
 
+    def _aim(self, lag: float, now: int) -> None:
+        """Move the limit by how late the core was in the mean of the round."""
+        if lag > LAG:
+            if now - self._cut_at < CUT_EVERY:
+                return  # what passed before the last cut is still being worked off
+            self._cut_at = now
+            self.limit = max(RATE_LEAST, FLOOR * self._best, min(self.limit or self._done, self._done) * CUT)
+        elif self.limit:
+            if self._away or self._done >= IN_USE * self.limit:
+                self.limit *= 1.0 + (RISE_IDLE if lag < LAG / 4 else RISE)
+            elif self._done < self.limit / 3:
+                self.limit = 0.0  # far from short: nothing is to be divided
+
     def _divide(self, busy: list[_Network]) -> None:
         """Weighted max-min of the rate: who asks for less than its part leaves the rest to the others."""
         left = self.limit
--- a/hallproxy/run/repository.py
+++ b/hallproxy/run/repository.py
@@ -28,7 +28,7 @@
 from hallproxy.run.repository_config import INDEX, PACKAGE
 from hallproxy.run.sockets import Buffer, Stream, stream
 from hallproxy.run.turnaway import NO_ROOM, TurnAway
-from hallproxy.state.events import Answer, Arrived, Asked, CallerLeft, Reason, Verdict
+from hallproxy.state.events import Answer, Arrived, Asked, CallerLeft, Lagged, Reason, Verdict
 from hallproxy.wire import simple
 from hallproxy.wire.http1 import Head, HttpError, request_head
 
@@ -75,7 +75,8 @@
     Reason.ABSENT: "the upstream repository does not have it",
     Reason.REPLACED: "the bytes that the index named are gone",
 }
-LAG_EVERY = 0.01  # s between looks at how late the process is
+LAG_EVERY = 0.01  # s between looks at how late the process is, ...
+LAG_TOLD = 10  # ...so many of which the core is told together
 USE_PATH = "/.use"
 BACK = "read the index again: "  # how an error sends a client back
 
@@ -100,20 +101,22 @@
     """Who asks: the team, where from, and whether the client has asked for the same before."""
 
     team: str
-    address: str
+    seat: Seat
     repeat: bool
 
 
 class Seat:
     """One client's connection: whose it is, and the place that it holds until it ends."""
 
-    __slots__ = ("made", "address", "network", "team", "unsent", "held")
+    __slots__ = ("made", "address", "network", "team", "unsent", "held", "gone", "waits")
 
     def __init__(self, made: Stream, address: str, network: str) -> None:
         self.made, self.address, self.network = made, address, network
         self.team = ""  # of the latest request
         self.unsent = 0  # bytes that the client has not taken yet
         self.held = True
+        self.gone = False  # the client has left
+        self.waits: asyncio.Future[Answer] | None = None  # the core's answer that is waited for
 
 
 class Repository:
@@ -166,9 +169,14 @@
         """How late the process is for a timer of its own: the sign that the core's time runs short."""
         running = asyncio.get_running_loop()
         while True:
-            due = running.time() + LAG_EVERY
-            await asyncio.sleep(LAG_EVERY)
-            self.places.lagged(int(max(0.0, running.time() - due) * SECOND), self.loop.now())
+            late = 0
+            for _ in range(LAG_TOLD):
+                due = running.time() + LAG_EVERY
+                await asyncio.sleep(LAG_EVERY)
+                lag = int(max(0.0, running.time() - due) * SECOND)
+                self.places.lagged(lag, self.loop.now())
+                late += lag
+            self.loop.bring(Lagged(self.loop.now(), late // LAG_TOLD))
 
     async def close(self) -> None:
         """End the connections that are left, once all that was taken is answered."""
@@ -183,7 +191,7 @@
             while True:
                 self._idle[seat] = None
                 try:
-                    head = await asyncio.wait_for(reader.head(), wait)
+                    head = await reader.head(wait)
                     if head.chunked or head.length:
                         raise HttpError("a request with a body")
                 except HttpError as error:
@@ -200,6 +208,7 @@
                     await self._write(seat, response, head.method == "HEAD", keeps)
                 finally:
                     self.busy -= 1
+                    self.places.finished()
                 if not keeps:
                     return
         except (StreamClosedError, OSError, TimeoutError):
@@ -211,17 +220,20 @@
 
     async def _answer_or_leave(self, reader: _Reader, head: Head, seat: Seat) -> Response:
         """The answer; if the client leaves while it is made, what is out for it is given up too."""
-        work = asyncio.ensure_future(self._answer(head, seat))
+
+        def left(done: asyncio.Future[None]) -> None:
+            # A request sent ahead just waits; a break is the client's leaving.
+            if done.cancelled() or done.exception() is not None:
+                seat.gone = True
+                if seat.waits is not None and not seat.waits.done():
+                    seat.waits.set_exception(StreamClosedError())
+
         ahead = reader.ahead()
+        ahead.add_done_callback(left)
         try:
-            await asyncio.wait((work, ahead), return_when=asyncio.FIRST_COMPLETED)
-            if not work.done():
-                ahead.result()  # raises where the client has left; a request sent ahead just waits
-            return await work
+            return await self._answer(head, seat)
         finally:
-            if not work.done():
-                work.cancel()
-                await asyncio.gather(work, return_exceptions=True)
+            ahead.remove_done_callback(left)
 
     async def _answer(self, head: Head, seat: Seat) -> Response:
         if head.method not in ("GET", "HEAD"):
@@ -237,7 +249,7 @@
         if team is None:
             return plain(401, "a team and its token are needed", WWW_Authenticate='Basic realm="hallproxy"')
         seat.team = team
-        who = Who(team, seat.address, head.fields.get("retry-attempt", "0") not in ("", "0"))
+        who = Who(team, seat, head.fields.get("retry-attempt", "0") not in ("", "0"))
         media = simple.choose(head.fields.get("accept", ""))
         if not wanted.file and media is None:
             return plain(406, f"indexes are served as {simple.JSON}, {simple.HTML} and {simple.PLAIN_HTML}")
@@ -322,17 +334,21 @@
             size_kb=size_kb,
             held=held,
             team=who.team,
-            address=who.address,
+            address=who.seat.address,
             repeat=who.repeat,
             service=self.applied.service_of(wanted.project),
             digest=digest,
         )
+        if who.seat.gone:
+            raise StreamClosedError()
         future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        who.seat.waits = future
         caller = self.loop.caller(lambda answer: None if future.done() else future.set_result(answer))
         self.loop.bring(Arrived(self.loop.now(), caller, asked))
         try:
             return await future
         finally:
+            who.seat.waits = None
             if self.loop.repliers.pop(caller, None) is not None:  # nobody waits any more
                 self.loop.bring(CallerLeft(self.loop.now(), caller))
 
@@ -421,7 +437,10 @@
             self._reading.add_done_callback(lambda done: done.cancelled() or done.exception())
         return self._reading
 
-    async def head(self) -> Head:
+    async def head(self, within: float) -> Head:
+        """The next request's head; TimeoutError if it is not whole in so many seconds."""
+        clock = asyncio.get_running_loop().time
+        until = clock() + within
         while True:
             # Nothing is taken out of the buffer while a read writes into it.
             if self._reading is None or self._reading.done():
@@ -429,4 +448,12 @@
                 if head is not None:
                     self._buffer.drop(head.size)
                     return head
-            await self.ahead()
+                if self._reading is not None and self._reading.exception() is not None:
+                    self._reading.result()
+                self._reading = None
+                # Not a task of its own: most heads are there at once.
+                await self._buffer.fill(self._made, 2048, until - clock())
+            else:
+                await asyncio.wait((self._reading,), timeout=max(0.0, until - clock()))
+                if not self._reading.done():
+                    raise TimeoutError
--- a/hallproxy/run/repository_main.py
+++ b/hallproxy/run/repository_main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import secrets
 import socket
 from pathlib import Path
@@ -75,7 +76,12 @@
         tasks.append(asyncio.ensure_future(poller.run()))
     host, port = config.listen
     listeners = bind_sockets(port, host, family=socket.AF_INET, backlog=1024)
+    for sock in listeners:
+        # A connection is worth looking at once it has said something; a silent one comes a while later.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, 1)
     stops = [add_accept_handler(sock, front.accept) for sock in listeners]
+    gc.collect()
+    gc.freeze()  # what is there at the start is for good: no full collection looks at it again
     say(f"repository listens on {host}:{listeners[0].getsockname()[1]}")
 
     def reload() -> None:
--- a/hallproxy/run/turnaway.py
+++ b/hallproxy/run/turnaway.py
@@ -55,7 +55,6 @@
     def _answer(self, sock: socket.socket) -> None:
         try:
             sock.send(CLOSING)
-            sock.shutdown(socket.SHUT_WR)
         except OSError:
             pass
         sock.close()
--- a/hallproxy/state/events.py
+++ b/hallproxy/state/events.py
@@ -191,6 +191,14 @@
     link: int
 
 
+@dataclass(slots=True, frozen=True)
+class Lagged:
+    """The process was so late (ns) for timers of its own, lately and in the mean."""
+
+    at: int
+    lag: int
+
+
 @dataclass(slots=True, frozen=True)
 class ContractsTold:
     """From now on these contracts hold; None: none are kept here."""
@@ -223,5 +231,6 @@
     | CallDue
     | TurnDue
     | ContractsTold
+    | Lagged
     | Reconfigured
 )
--- a/hallproxy/state/reducer.py
+++ b/hallproxy/state/reducer.py
@@ -19,6 +19,7 @@
     ContractsTold,
     Due,
     Event,
+    Lagged,
     LinkDown,
     LinkDue,
     LinkUp,
@@ -63,6 +64,8 @@
             state.heard_at = max(state.heard_at, event.at)
         case ContractsTold():
             teams.told(state, event)
+        case Lagged() if state.broker is not None:
+            state.broker.capacity.lagged(event.lag)
         case Reconfigured():
             _reconfigured(state, event)
     _consult(state)
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -472,6 +472,8 @@
             for _ in range(count):
                 passes = places.request(name, now)
                 work += 1.0 if passes else 0.1
+                if passes and work <= 100:
+                    places.finished()
                 if 100 <= turn < 300:
                     done[name] += passes
         # A core that does 100 in a round lags behind by what is over.
