Teams on the platform's front, by class and group; the usage command; tests on sockets

Need: the platform's clients carry no token, so contracts could not reach its front; nobody could see what a team used.

--- a/hallproxy/run/clients.py
+++ b/hallproxy/run/clients.py
@@ -8,6 +8,7 @@
 from tornado.iostream import StreamClosedError
 
 from hallproxy.run.loop import Loop, say
+from hallproxy.run.platform_teams import PlatformTeams
 from hallproxy.run.sockets import Buffer, Stream, stream
 from hallproxy.state.calls import BUSY_RETRY
 from hallproxy.state.events import Answer, Arrived, CallerLeft, Verdict
@@ -25,8 +26,8 @@
 class Connection:
     """One client's connection, from the accept to the close."""
 
-    def __init__(self, front: Clients, made: Stream) -> None:
-        self._front, self._made = front, made
+    def __init__(self, front: Clients, made: Stream, address: str) -> None:
+        self._front, self._made, self._address = front, made, address
         self.open: dict[int, int] = {}  # stream -> caller
         self.asked = False  # a whole frame has come
         self.quiet_since = asyncio.get_running_loop().time()
@@ -112,6 +113,8 @@
                 )
             except frames.FieldError as error:
                 return self._fault(frames.error(str(error), stream_id))
+            if self._front.teams is not None:
+                asked = self._front.teams.owned(asked, self._address)
             caller = self._front.loop.caller(lambda answer: self._answer(stream_id, answer))
             self.open[stream_id] = caller
             self._front.loop.bring(Arrived(self._front.loop.now(), caller, asked))
@@ -159,6 +162,7 @@
         self.loop = loop
         self.classes = {c.name: n for n, c in enumerate(loop.state.settings.classes)}
         self.connections: set[Connection] = set()
+        self.teams: PlatformTeams | None = None  # whose requests are whose; None: no teams are told apart
         self.stopping = False
         self.asked_at = 0.0  # when the last request or connection came
         self._tasks: set[asyncio.Task[None]] = set()
@@ -184,13 +188,13 @@
             longest.close()
         return longest is not None
 
-    def accept(self, sock: socket.socket, _: object) -> None:
+    def accept(self, sock: socket.socket, peer: tuple[str, int]) -> None:
         if len(self.connections) >= self.loop.state.bounds.callers and not self._make_room():
             # Guards the descriptors: the front keeps to a third of them, so this is no client of ours.
             sock.close()
             return
         self.asked_at = asyncio.get_running_loop().time()
-        connection = Connection(self, stream(sock))
+        connection = Connection(self, stream(sock), peer[0])
         self.connections.add(connection)
         task = asyncio.get_running_loop().create_task(connection.serve())
         self._tasks.add(task)
--- a/hallproxy/run/main.py
+++ b/hallproxy/run/main.py
@@ -5,6 +5,7 @@
 import argparse
 import asyncio
 import gc
+import json
 import os
 import signal
 import sys
@@ -17,7 +18,7 @@
 
 from hallproxy.interface import SettingsError
 from hallproxy.logic import Router, check
-from hallproxy.run import contracts, repository_config, repository_main
+from hallproxy.run import contracts, platform_teams, repository_config, repository_main, usage
 from hallproxy.run.changelog import Poller
 from hallproxy.run.clients import Clients
 from hallproxy.run.config import Config, ConfigError, load
@@ -26,7 +27,7 @@
 from hallproxy.run.signals import Signals
 from hallproxy.run.stores import HttpStores
 from hallproxy.state.bounds import MB, Bounds
-from hallproxy.state.events import NewsHeard, Reconfigured
+from hallproxy.state.events import ContractsTold, NewsHeard, Reconfigured
 from hallproxy.state.model import State
 from hallproxy.wire.changelog import ChangeError
 from hallproxy.wire.stores import Platform
@@ -61,7 +62,7 @@
     )
 
 
-async def serve(config: Config, signals: Signals) -> None:
+async def serve(config: Config, teams: Path | None, signals: Signals) -> None:
     loop = Loop(State(config.settings, Router(config.settings, config.seed), bounds(config)))
     speech = Platform(config.settings)
     loop.stores = HttpStores(loop, speech)
@@ -71,6 +72,10 @@
     if config.changelog is not None:
         loop.bring(NewsHeard(loop.now()))
     clients = Clients(loop)
+    names = [c.name for c in config.settings.classes]
+    if teams is not None:
+        clients.teams = platform_teams.load(teams, names)
+        loop.bring(ContractsTold(loop.now(), clients.teams.contracts))
     host, port = config.listen
     listeners = bind_sockets(port, host, backlog=512)
     stops: list[Callable[[], None]] = [add_accept_handler(sock, clients.accept) for sock in listeners]
@@ -98,11 +103,15 @@
             raise ConfigError("another zone or address to listen on needs a restart")
         if (new.changelog is None) != (poller is None):
             raise ConfigError("a change log where there was none, or none any more, needs a restart")
+        told = platform_teams.load(teams, names) if teams is not None else None
         check(new.settings)
         speech.settings = new.settings
         loop.bring(Reconfigured(loop.now(), new.settings, bounds(new)))
         if poller is not None and new.changelog is not None:
             poller.move(new.changelog, new.known)
+        if told is not None:
+            clients.teams = told
+            loop.bring(ContractsTold(loop.now(), told.contracts))
 
     tasks.append(asyncio.ensure_future(signals.reloads(reload)))
     await signals.stopped.wait()
@@ -149,9 +158,15 @@
 
 def _arguments() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(prog="hallproxy", description="With no command: one gateway.")
+    parser.add_argument("--teams", type=Path, help="tell teams apart, as this file says (off without it)")
     commands = parser.add_subparsers(dest="command")
     serving = commands.add_parser("repository", help="serve package repositories, as a deploy file says")
     serving.add_argument("file", type=Path, nargs="?", default=Path("deploy/repository.toml"))
+    using = commands.add_parser("usage", help="what teams use of a running front")
+    using.add_argument("--at", default="127.0.0.1:8081", help="where the front listens")
+    using.add_argument("--team", required=True)
+    using.add_argument("--token-file", type=Path, required=True, help="a file that holds the team's token")
+    using.add_argument("--json", action="store_true")
     planning = commands.add_parser("plan", help="print and save what a contracts file would change")
     planning.add_argument("file", type=Path)
     planning.add_argument("--out", type=Path, help="where the plan is saved (FILE.plan)")
@@ -162,6 +177,11 @@
     return parser
 
 
+def _usage(args: argparse.Namespace) -> None:
+    shown = usage.fetch(args.at, args.team, args.token_file.read_text("utf-8").strip())
+    print(json.dumps(shown, indent=1) if args.json else "\n".join(usage.lines(shown)))
+
+
 def _plan(args: argparse.Namespace) -> None:
     out = args.out or args.file.with_name(args.file.name + ".plan")
     changes = contracts.plan(args.file, args.state, out)
@@ -185,11 +205,13 @@
                 _plan(args)
             case "apply":
                 _apply(args)
+            case "usage":
+                _usage(args)
             case "repository":
                 settled = repository_config.load(args.file)
                 asyncio.run(_until_stopped(partial(repository_main.serve, args.file, settled)))
             case _:
-                asyncio.run(_until_stopped(partial(serve, load(os.environ))))
+                asyncio.run(_until_stopped(partial(serve, load(os.environ), args.teams)))
     except (ConfigError, ContractError, SettingsError, ChangeError) as error:
         print(f"hallproxy: {error}", file=sys.stderr)
         return 1
--- /dev/null
+++ b/hallproxy/run/platform_teams.py
@@ -0,0 +1,96 @@
+"""Teams on the platform's front, from the operators' own file: told apart by class and group of a request.
+
+The platform's clients carry no token, so a request belongs to the first assignment that fits it. Contracts
+are written as in a contracts file; teams need no token here, and a service is just a name.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+from hallproxy.broker.contracts import Contracts
+from hallproxy.run.config import ConfigError
+from hallproxy.run.contracts import ContractError, check, in_force
+from hallproxy.state.events import Asked
+
+GROUPS = 256
+NO_TOKEN = "0" * 64  # the schema's place for a token; nobody can present one here
+KEYS = ("teams", "services", "organisations", "contracts", "assign")
+
+
+@dataclass(slots=True, frozen=True)
+class PlatformTeams:
+    contracts: Contracts
+    owners: tuple[tuple[tuple[str, str], ...], ...]  # by class, by group: team and service
+
+    def owned(self, asked: Asked, address: str) -> Asked:
+        """The request with whose it is, and where it came from."""
+        team, service = self.owners[asked.cls][asked.group]
+        return replace(asked, team=team, service=service, address=address)
+
+
+def load(path: Path, classes: Sequence[str]) -> PlatformTeams:
+    """Read and check the file whole; ConfigError, one plain line, where it can't be used."""
+    try:
+        top = tomllib.loads(path.read_text("utf-8"))
+    except OSError as error:
+        raise ConfigError(f"{path} can't be read: {error.strerror}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise ConfigError(f"{path} is not TOML: {error}") from None
+    try:
+        assigned = top.pop("assign", None)
+        for team in top.get("teams", {}).values():
+            team.setdefault("token_sha256", NO_TOKEN)
+        for service in top.get("services", {}).values():
+            service.setdefault("projects", ["*"])
+        applied = in_force(check(top))
+        return PlatformTeams(applied.contracts, _owners(assigned, applied.contracts, classes))
+    except (ContractError, ConfigError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+    except (TypeError, AttributeError, ValueError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+
+
+def _owners(
+    assigned: Any, contracts: Contracts, classes: Sequence[str]
+) -> tuple[tuple[tuple[str, str], ...], ...]:
+    if not isinstance(assigned, list) or not all(isinstance(a, dict) for a in assigned):
+        raise ConfigError("assign is not a list of tables")
+    owners: list[list[tuple[str, str] | None]] = [[None] * GROUPS for _ in classes]
+    for number, one in enumerate(assigned, 1):
+        where = f"assign {number}"
+        for key in one:
+            if key not in ("team", "service", "classes", "groups"):
+                raise ConfigError(f"{where}: unknown key {key!r}")
+        team, service = one.get("team"), one.get("service")
+        named = one.get("classes", list(classes))
+        if not isinstance(named, list) or not named:
+            raise ConfigError(f"{where}: classes is not a list of names")
+        first, last = _range(one.get("groups", [0, GROUPS - 1]), where)
+        for name in named:
+            if name not in classes:
+                raise ConfigError(f"{where}: {name!r} is no class of the settings")
+            if contracts.find(team, service, name) is None:
+                raise ConfigError(f"{where}: {team!r} has no contract for {service!r} and class {name!r}")
+            row = owners[list(classes).index(name)]
+            for group in range(first, last + 1):
+                row[group] = row[group] or (team, service)  # the first that fits
+    for name, row in zip(classes, owners, strict=True):
+        if None in row:
+            raise ConfigError(f"class {name!r}, group {row.index(None)} is assigned to nobody")
+    return tuple(tuple(owner for owner in row if owner is not None) for row in owners)
+
+
+def _range(value: Any, where: str) -> tuple[int, int]:
+    if (
+        not isinstance(value, list)
+        or len(value) != 2
+        or not all(type(v) is int for v in value)
+        or not 0 <= value[0] <= value[1] < GROUPS
+    ):
+        raise ConfigError(f"{where}: groups is not [first, last] within 0 to {GROUPS - 1}")
+    return value[0], value[1]
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -288,6 +288,7 @@
     limits: dict[str, Any] = field(default_factory=lambda: {"memory_mb": 192, "sockets": 256})
     caches: list[Http] = field(default_factory=lambda: [Http(ok()), Http(ok())])
     changed: Callable[[dict[str, Any]], None] = lambda settings: None
+    words: tuple[str, ...] = ()  # of the command line
 
     def start(self, **more: Any) -> Platform:
         self.log = ChangeLog()
@@ -300,7 +301,7 @@
                        "changelog": self.log.address, "flow_bytes_per_s": 10**7, "link_bytes_per_s": 10**7,
                        "known": self.log.page(), "settings": settings, **more}  # fmt: skip
         (self.path / "config.json").write_text(json.dumps(self.config))
-        self.program = Program(EDGE_CONFIG=str(self.path / "config.json"), EDGE_NAME="n1")
+        self.program = Program(*self.words, EDGE_CONFIG=str(self.path / "config.json"), EDGE_NAME="n1")
         return self
 
     def client(self) -> Client:
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -116,6 +116,10 @@
         return at
 
 
+def auth(team: str, token: str) -> str:
+    return "Basic " + base64.b64encode(f"{team}:{token}".encode()).decode()
+
+
 @pytest.fixture
 def front(tmp_path: Path) -> Iterator[Front]:
     made = Front(tmp_path)
@@ -427,9 +431,6 @@
         contracts.plan(file, state, plan)
         assert contracts.apply(plan, state)
 
-    def auth(team: str, token: str) -> str:
-        return "Basic " + base64.b64encode(f"{team}:{token}".encode()).decode()
-
     front.start(contracts=True)
     path = f"/simple/{PROJECT}/"
     assert front.get(path).status == 401  # nothing is applied yet
