--- a/hallproxy/broker/capacity.py
+++ b/hallproxy/broker/capacity.py
@@ -26,7 +26,8 @@
 LOST_CUT = 0.7  # ...which is what one with many attempts lost or turned away does
 LOST_SHARE = 0.1  # share of a window's attempts that are lost from which it counts so
 STEP = 0.1  # a window in use widens the limit by this part of its room to grow...
-GROW_MOST = 2.0  # ...and by no more than so many
+GROW_MOST = 2.0  # ...and by no more than so many, ...
+GROW_PART = 0.05  # ...or than this part of it
 DOUBLE_UNTIL = 1.2  # bases up to which a limit that was never cut grows by half at once
 IN_USE = 0.7  # share of the limit in use from which it grows
 WINDOW = 100 * MS  # ns; a window is at least so long...
@@ -195,7 +196,10 @@
             if not source.cut and median <= DOUBLE_UNTIL:
                 source.limit *= 1.5
             else:
-                source.limit += min(GROW_MOST, STEP * source.limit * (TARGET - median) / (TARGET - 1.0) + 0.2)
+                source.limit += min(
+                    max(GROW_MOST, GROW_PART * source.limit),
+                    STEP * source.limit * (TARGET - median) / (TARGET - 1.0) + 0.2,
+                )
             source.limit = min(self.most, source.limit)
             return
         else:
--- a/hallproxy/broker/shares.py
+++ b/hallproxy/broker/shares.py
@@ -17,6 +17,7 @@
 import math
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
+from itertools import islice
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -172,14 +173,15 @@
         Who waits needs none kept: the next place goes to whoever has the earlier tag.
         """
         active = self.root.active
-        if len(active) <= 1 or self.limit <= 1:
+        silent = len(active) - len(self.root.backlog) - (not top.waiting)
+        if silent <= 0 or self.limit <= 1:
             return 0
         least = -(-self.limit // KEPT_BACK)
         if len(active) > LOOKED_AT:
-            return least  # so many even each other out
+            return min(least, silent)  # so many even each other out
         quiet = [other for other in active.values() if other is not top and not other.waiting]
         wanted = sum(max(0, int(min(self.share(o), math.ceil(o.use)) - o.held)) for o in quiet)
-        return max(least, wanted) if quiet else 0
+        return max(least, wanted)
 
     def ask(self, leaf: Node, ident: int, expected: int, now: int) -> bool:
         """Grant a place at once, if there is one and nobody of the same contract waits for it."""
@@ -245,7 +247,8 @@
         self._expire(self.root, now)
         if self.root.held >= self.limit:
             return None
-        node = next((n for n in self.root.backlog if self._may(n)), None)
+        # Those behind the first few have had more than their part: they would hardly be under their share.
+        node = next((n for n in islice(self.root.backlog, LOOKED_AT) if self._may(n)), None)
         if node is None:
             return None
         while node.children and node.backlog:
--- a/hallproxy/broker/usage.py
+++ b/hallproxy/broker/usage.py
@@ -14,7 +14,7 @@
 MS = 1_000_000  # ns
 ROUND = 10 * SECOND
 ROUNDS = 6
-TEAMS_MOST = 4_096  # teams whose use is held; the longest unheard of goes first
+TEAMS_MOST = 16_384  # teams whose use is held; the longest unheard of goes first
 SLOWEST = 120_000  # ms; longer latencies count as this
 
 
@@ -31,7 +31,8 @@
     # Imported here: the platform's gateway keeps no contracts and must not pay for it.
     from hdrh.histogram import HdrHistogram
 
-    return HdrHistogram(1, SLOWEST, 2)
+    # Within 6 in 100: two digits would take four times the memory, for each team.
+    return HdrHistogram(1, SLOWEST, 1, word_size=4)
 
 
 class TeamUse:
@@ -39,7 +40,8 @@
 
     def __init__(self) -> None:
         self.rounds: deque[Round] = deque(maxlen=ROUNDS)
-        self._now, self._before = _histogram(), _histogram()
+        self._now: Any = None  # made with the first answer: many teams hardly ever ask
+        self._before: Any = None
         self._number = -1
 
     def round(self, now: int) -> Round:
@@ -48,16 +50,18 @@
             self.rounds.append(Round(number))
         half = number // (ROUNDS // 2)
         if half != self._number:
-            if half == self._number + 1:
-                self._now, self._before = self._before, self._now
-            else:
-                self._before.reset()
-            self._now.reset()
+            # What was before the last half is forgotten, and its histogram taken for the one that runs now.
+            kept = self._now if half == self._number + 1 else None
+            self._now, self._before = self._before, kept
+            if self._now is not None:
+                self._now.reset()
             self._number = half
         return self.rounds[-1]
 
     def took(self, latency: int, now: int) -> None:
         self.round(now)
+        if self._now is None:
+            self._now = _histogram()
         self._now.record_value(min(SLOWEST, max(1, latency // MS)))
 
     def shown(self, now: int) -> dict[str, Any]:
@@ -65,13 +69,14 @@
         self.round(now)
         recent = [r for r in self.rounds if r.number > now // ROUND - ROUNDS]
         counts: Counter[str] = Counter()
-        for one in recent:
-            counts.update(one.counts)
-        both = _histogram()
-        both.add(self._now)
-        both.add(self._before)
+        for round_ in recent:
+            counts.update(round_.counts)
+        held = [h for h in (self._now, self._before) if h is not None and h.total_count]
         latency = {}
-        if both.total_count:
+        if held:
+            both = _histogram()
+            for one in held:
+                both.add(one)
             latency = {f"p{p:g}_ms": int(both.get_value_at_percentile(p)) for p in (50, 90, 99, 99.9)}
         return {
             "seconds": ROUNDS * ROUND // SECOND,
