--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -388,6 +388,16 @@
     assert tallies["flood"].refused["retry budget"] > 10_000
 
 
+def test_a_team_blows_its_budget_while_head_office_slows() -> None:
+    """What its contract does not allow is refused at once; the source's fall costs both by their weights."""
+    flood, quiet = Contract("flood", "all", rate=Rate(100, 100)), Contract("quiet", "all")
+    source = Source(8, 20 * MS, lambda at: 5.0 if at > 10 else 1.0, spread=0.3)
+    rush = World(FLOOD, source, Broker(Contracts((flood, quiet)), START)).run(20)
+    calm = world(CALM, slow=5.0).run(20)
+    assert rush["quiet"].part() >= 0.97 * calm["quiet"].part()
+    assert rush["flood"].refused["over budget"] >= 9000 and rush["flood"].served <= 100 * 21
+
+
 def test_capacity_comes_back_after_the_source_has() -> None:
     rush = World(
         FLOOD, Source(8, 20 * MS, lambda at: 5.0 if 5 < at < 10 else 1.0), Broker(contracts_of(FLOOD), START)
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -217,6 +217,24 @@
     assert asyncio.run(run()) == ["large", "a", "b"]
 
 
+def test_small_bodies_do_not_wait_behind_large_ones() -> None:
+    async def run() -> list[str]:
+        budget, said = Budget(lambda: 100, lambda: 10), []
+
+        async def use(name: str, size: int) -> None:
+            await budget.take(size)
+            said.append(name)
+
+        tasks = [asyncio.ensure_future(use(f"large-{n}", 40)) for n in range(5)]
+        tasks += [asyncio.ensure_future(use(f"small-{n}", 10)) for n in range(3)]
+        await asyncio.sleep(0)
+        for task in tasks:
+            task.cancel()
+        return said
+
+    assert asyncio.run(run()) == ["large-0", "small-0", "small-1", "small-2"]
+
+
 def test_bytes_by_rank_are_what_the_ranks_hold() -> None:
     """They stand for sums over all copies, which at each new one took a tenth of the gateway's time."""
     copies = Copies(most=300)
