--- a/hallproxy/run/main.py
+++ b/hallproxy/run/main.py
@@ -18,7 +18,7 @@
 
 from hallproxy.interface import SettingsError
 from hallproxy.logic import Router, check
-from hallproxy.run import contracts, platform_teams, repository_config, repository_main, usage
+from hallproxy.run import contracts, platform_teams, usage
 from hallproxy.run.changelog import Poller
 from hallproxy.run.clients import Clients
 from hallproxy.run.config import Config, ConfigError, load
@@ -208,6 +208,9 @@
             case "usage":
                 _usage(args)
             case "repository":
+                # Imported here: the platform's gateway must not pay for what the second front needs.
+                from hallproxy.run import repository_config, repository_main
+
                 settled = repository_config.load(args.file)
                 asyncio.run(_until_stopped(partial(repository_main.serve, args.file, settled)))
             case _:
--- a/hallproxy/run/repository.py
+++ b/hallproxy/run/repository.py
@@ -19,6 +19,7 @@
 from dataclasses import dataclass
 from email.utils import formatdate
 
+from cachetools import LRUCache
 from tornado.iostream import StreamClosedError
 
 from hallproxy.broker.networks import neighbourhood
@@ -29,20 +30,22 @@
 from hallproxy.run.sockets import Buffer, Stream, stream
 from hallproxy.run.turnaway import NO_ROOM, TurnAway
 from hallproxy.state.events import Answer, Arrived, Asked, CallerLeft, Lagged, Reason, Verdict
-from hallproxy.wire import simple
+from hallproxy.wire import codings, ranges, simple
 from hallproxy.wire.http1 import Head, HttpError, request_head
 
 SECOND = 1_000_000_000
 SLACK = SECOND // 20  # ns kept back of a deadline for writing the answer
 IDLE = 30.0  # s that a connection waits for its next request, and for the rest of its head
 FIRST_IN = 5.0  # s for a connection's first whole head: who says nothing must not hold a place
+FORMS_MOST = 16 * 1024 * 1024  # bytes of indexes kept in the forms they were served in
+VARY = "Accept, Accept-Encoding"
 UNSENT_MOST = 96 * 1024 * 1024  # bytes waiting for slow clients, all together
 WRITE = 60.0  # s for a client to take an answer
 PHRASES = {
-    200: "OK", 301: "Moved Permanently", 304: "Not Modified", 400: "Bad Request", 401: "Unauthorized",
-    403: "Forbidden", 404: "Not Found", 405: "Method Not Allowed", 406: "Not Acceptable", 409: "Conflict",
-    410: "Gone", 413: "Content Too Large", 429: "Too Many Requests", 502: "Bad Gateway",
-    503: "Service Unavailable", 504: "Gateway Timeout",
+    200: "OK", 206: "Partial Content", 301: "Moved Permanently", 304: "Not Modified", 400: "Bad Request",
+    401: "Unauthorized", 403: "Forbidden", 404: "Not Found", 405: "Method Not Allowed", 406: "Not Acceptable",
+    409: "Conflict", 410: "Gone", 413: "Content Too Large", 416: "Range Not Satisfiable",
+    429: "Too Many Requests", 502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
 }  # fmt: skip
 # What the core's reasons are in HTTP. What is merely busy, or not said, is a 503.
 STATUS = {
@@ -131,6 +134,9 @@
         self._unsent = 0  # bytes of answers that clients have not taken yet
         self._slow: set[Seat] = set()  # connections with such bytes
         self._idle: dict[Seat, None] = {}  # connections with nothing asked, the longest idle first
+        self._forms: LRUCache[tuple[str, ...], tuple[bytes, str]] = LRUCache(
+            FORMS_MOST, getsizeof=lambda made: len(made[0]) + 256
+        )
         self._tasks: set[asyncio.Task[None]] = set()
 
     def accept(self, sock: socket.socket, peer: tuple[str, int]) -> None:
@@ -251,49 +257,80 @@
         seat.team = team
         who = Who(team, seat, head.fields.get("retry-attempt", "0") not in ("", "0"))
         media = simple.choose(head.fields.get("accept", ""))
+        coding = codings.choose(head.fields.get("accept-encoding"))
         if not wanted.file and media is None:
             return plain(406, f"indexes are served as {simple.JSON}, {simple.HTML} and {simple.PLAIN_HTML}")
+        if coding is None:
+            if not wanted.file:
+                return plain(406, "indexes are served in gzip or with no coding", Vary=VARY)
+            coding = codings.IDENTITY  # a file has no other form: refusing it would help nobody
         began = self.loop.now()
         path = f"/simple/{wanted.project}/" if wanted.project else "/simple/"
         said = await self._ask(who, wanted, INDEX, path, began)
         if said.verdict is not Verdict.SERVED:
             return self._error(said, "")
         index = simple.unpack_index(said.body, wanted.project)
-        held = head.fields.get("if-none-match", "")
         if not wanted.file:
-            return self._index(said, index, media or simple.PLAIN_HTML, held)
-        return await self._file(who, wanted, index, held, began, path)
+            return self._index(said, index, media or simple.PLAIN_HTML, coding, head)
+        return await self._file(who, wanted, index, head, began, path)
 
-    def _index(self, said: Answer, index: simple.Index, media: str, held: str) -> Response:
-        body = simple.render(index, media)
-        tag = hashlib.sha256(body).hexdigest()
+    def _index(self, said: Answer, index: simple.Index, media: str, coding: str, head: Head) -> Response:
+        body, tag = self._rendered(said, index, media, coding)
         # no-cache: a client's own copy must be asked about each time, or it could outlive a purge.
-        fields = {"ETag": f'"{tag}"', "Cache-Control": "no-cache", "Vary": "Accept", "Age": self._age(said)}
-        if simple.same(tag, held):
+        fields = {"ETag": f'"{tag}"', "Cache-Control": "no-cache", "Vary": VARY, "Age": self._age(said)}
+        if simple.same(tag, head.fields.get("if-none-match", "")):
             return Response(304, b"", fields)
         fields["Content-Type"] = f"{media}; charset=utf-8" if "html" in media else media
+        if coding != codings.IDENTITY:
+            fields["Content-Encoding"] = coding
         return Response(200, body, fields)
 
+    def _rendered(self, said: Answer, index: simple.Index, media: str, coding: str) -> tuple[bytes, str]:
+        """An index in one form and coding, and its tag; kept by the digest of what it was made from."""
+        place = (said.tag, index.project, media, coding)
+        made: tuple[bytes, str] | None = self._forms.get(place)
+        if made is None:
+            body = codings.encode(simple.render(index, media), coding)
+            made = body, hashlib.sha256(body).hexdigest()
+            if len(body) <= FORMS_MOST:
+                self._forms[place] = made
+        return made
+
     async def _file(
-        self, who: Who, wanted: simple.Wanted, index: simple.Index, held: str, began: int, path: str
+        self, who: Who, wanted: simple.Wanted, index: simple.Index, head: Head, began: int, path: str
     ) -> Response:
         file = index.file(wanted.file)
         link = f'<{path}>; rel="index"'
-        if file is None:
-            return plain(404, f"{BACK}{path} names no {wanted.file}", Link=link)
+        named = wanted.file + (simple.METADATA if wanted.metadata else "")
+        if file is None or (wanted.metadata and not file.metadata):
+            return plain(404, f"{BACK}{path} names no {named}", Link=link)
         if file.digest != wanted.digest:
             # The index was replaced while the client was halfway through the one it holds.
             return plain(410, f"{BACK}{path} names other bytes for {wanted.file} now", Link=link)
-        tag = wanted.digest if simple.same(wanted.digest, held) else ""
-        said = await self._ask(who, wanted, PACKAGE, file.url, began, tag, (file.size or 0) / 1000)
+        digest = file.metadata if wanted.metadata else file.digest
+        url = simple.metadata_url(file.url) if wanted.metadata else file.url
+        tag = digest if simple.same(digest, head.fields.get("if-none-match", "")) else ""
+        size = 0 if wanted.metadata else file.size or 0
+        said = await self._ask(who, wanted, PACKAGE, url, began, tag, size / 1000, digest)
         if said.verdict is not Verdict.SERVED:
             if said.reason in (Reason.ABSENT, Reason.REPLACED):
                 return plain(410, f"{BACK}{path} ({WORDS[said.reason]})", Link=link)
             return self._error(said, path)
-        fields = {"ETag": f'"{wanted.digest}"', "Cache-Control": "no-cache", "Age": self._age(said)}
+        fields = {"ETag": f'"{digest}"', "Cache-Control": "no-cache", "Age": self._age(said)}
+        fields["Accept-Ranges"] = "bytes"
         if said.unchanged:
             return Response(304, b"", fields)
-        return Response(200, said.body, fields | {"Content-Type": "application/octet-stream"})
+        fields["Content-Type"] = "application/octet-stream"
+        asked = head.fields.get("range", "") if head.method == "GET" else ""
+        if asked and ranges.still_holds(head.fields.get("if-range", ""), digest):
+            part = ranges.wanted(asked, len(said.body))
+            if isinstance(part, ranges.Unsatisfiable):
+                told = {"Content-Range": f"bytes */{len(said.body)}", "Accept-Ranges": "bytes"}
+                return plain(416, "no byte of it lies in that range", **told)
+            if part is not None:
+                fields["Content-Range"] = part.told
+                return Response(206, said.body[part.first : part.end], fields)
+        return Response(200, said.body, fields)
 
     def _age(self, said: Answer) -> str:
         return str(max(0, self.loop.now() - said.born) // SECOND)
@@ -315,12 +352,12 @@
         began: int,
         held: str = "",
         size_kb: float = 0.0,
+        digest: str = "",
     ) -> Answer:
         """One request of the core. The deadline is that of the client's request, however many it takes."""
         place = self._classes[cls]
         deadline = self.loop.state.settings.classes[place].deadline
         obj = simple.object_id(wanted.project)
-        digest = wanted.digest if cls == PACKAGE else ""
         # A part is one file by its bytes: another digest under the same name is another part.
         part = int(hashlib.sha256(f"{wanted.file}={digest}".encode()).hexdigest()[:12], 16) if digest else 0
         asked = Asked(
--- a/hallproxy/wire/simple.py
+++ b/hallproxy/wire/simple.py
@@ -1,5 +1,9 @@
 """The Simple repository API: indexes as HTML (PEP 503) and JSON (PEP 691), files named by their digest.
 
+What else indexes tell goes through both forms: yanked files (592), signatures (503), metadata files (658,
+714), versions, sizes and upload times (700), tracks and alternate locations (708), provenance (740), project
+status (792). An index is served under the API version that upstream told: nothing is claimed beyond it.
+
 Upstream indexes of either form become one canonical JSON text, which is what the core carries and keeps;
 a served index is written anew from it, each file's URL carrying the digest of the bytes it stands for.
 """
@@ -26,6 +30,9 @@
 JSON = "application/vnd.pypi.simple.v1+json"
 HTML = "application/vnd.pypi.simple.v1+html"
 PLAIN_HTML = "text/html"
+METADATA = ".metadata"  # what a file's URL ends with where its metadata is meant (PEP 658)
+MINOR = 4  # of the highest API version 1.x that is spoken here (PEP 792)
+_STATUSES = ("active", "archived", "quarantined", "deprecated")
 _ALIASES = {
     "application/vnd.pypi.simple.latest+json": JSON,
     "application/vnd.pypi.simple.latest+html": HTML,
@@ -50,6 +57,9 @@
     yanked: str | bool = False
     size: int | None = None
     uploaded: str = ""
+    metadata: str = ""  # SHA-256 of its metadata file; empty: there is none that can be vouched for
+    signed: bool | None = None  # whether there is a signature; None: not told
+    provenance: str = ""  # URL
 
 
 @dataclass(slots=True, frozen=True)
@@ -59,6 +69,12 @@
     project: str
     files: tuple[File, ...] = ()
     projects: tuple[str, ...] = ()
+    minor: int = 0  # of the API version 1.x that upstream told
+    versions: tuple[str, ...] = ()
+    status: str = ""  # empty: not told, which is active
+    status_reason: str = ""
+    tracks: tuple[str, ...] = ()
+    alternates: tuple[str, ...] = ()
 
     def file(self, name: str) -> File | None:
         return next((f for f in self.files if f.name == name), None)
@@ -72,6 +88,7 @@
     digest: str = ""
     file: str = ""
     moved: str = ""  # the path it should have had
+    metadata: bool = False  # the file's metadata, not its bytes
 
 
 def normal(project: str) -> str:
@@ -97,7 +114,8 @@
             return Wanted(normal(project), moved="" if path == "/".join(parts) else path)
         case ["", "files", project, digest, name]:
             if _PROJECT.fullmatch(project) and _DIGEST.fullmatch(digest) and _FILE.fullmatch(name):
-                return Wanted(normal(project), digest, name)
+                base = name.removesuffix(METADATA)
+                return Wanted(normal(project), digest, base, metadata=base != name)
     return None
 
 
@@ -105,6 +123,12 @@
     return f"/files/{project}/{file.digest}/{quote(file.name)}"
 
 
+def metadata_url(url: str) -> str:
+    """Where a file's metadata lies: its URL's path with the ending, ahead of any query (PEP 658)."""
+    path, mark, query = url.partition("?")
+    return f"{path}{METADATA}{mark}{query}"
+
+
 # What upstream says --------------------------------------------------------------------------------------
 
 
@@ -112,6 +136,7 @@
     def __init__(self) -> None:
         super().__init__(convert_charrefs=True)
         self.links: list[tuple[dict[str, str | None], list[str]]] = []
+        self.meta: dict[str, list[str]] = {}
         self._open = False
 
     def handle_starttag(self, tag: str, attrs: list[tuple[str, str | None]]) -> None:
@@ -119,6 +144,12 @@
             self.links.append((dict(attrs), []))
             self._open = True
 
+        elif tag == "meta":
+            told = dict(attrs)
+            name = told.get("name") or ""
+            if name.startswith("pypi:"):
+                self.meta.setdefault(name[5:], []).append(told.get("content") or "")
+
     def handle_endtag(self, tag: str) -> None:
         self._open = self._open and tag != "a"
 
@@ -148,10 +179,10 @@
 
 
 def _from_json(top: dict[str, Any], project: str, path: str, hosts: set[str]) -> Index:
-    if not str(top["meta"]["api-version"]).startswith("1."):
-        raise ValueError("an API version other than 1")
+    meta = top["meta"]
+    minor = _minor(str(meta["api-version"]))
     if not project:
-        return Index("", projects=tuple(str(p["name"]) for p in top["projects"]))
+        return Index("", projects=tuple(str(p["name"]) for p in top["projects"]), minor=minor)
     files = [
         File(
             str(entry["filename"]),
@@ -161,23 +192,68 @@
             entry.get("yanked") or False,
             entry.get("size"),
             entry.get("upload-time") or "",
+            _metadata(entry.get("core-metadata", entry.get("dist-info-metadata"))),
+            entry.get("gpg-sig"),
+            _url(entry.get("provenance")),
         )
         for entry in top["files"]
     ]
-    return Index(project, tuple(f for f in files if _servable(f)))
+    status = top.get("project-status") or {}
+    return Index(
+        project,
+        _offered(files, status.get("status")),
+        minor=minor,
+        versions=tuple(str(v) for v in top.get("versions") or ()),
+        status=_status(status.get("status")),
+        status_reason=str(status.get("reason") or ""),
+        tracks=_urls(meta.get("tracks")),
+        alternates=_urls(top.get("alternate-locations")),
+    )
+
+
+def _minor(version: str) -> int:
+    """Of an API version 1.x, as far as it is spoken here; another major version can't be read (PEP 629)."""
+    major, _, minor = version.partition(".")
+    if major != "1" or not minor.isdigit():
+        raise ValueError("an API version other than 1")
+    return min(int(minor), MINOR)
+
+
+def _metadata(told: Any) -> str:
+    """The SHA-256 of a metadata file. One that is only said to be there can't be checked, so it is none."""
+    digest = str(told.get("sha256", "")).lower() if isinstance(told, dict) else ""
+    return digest if _DIGEST.fullmatch(digest) else ""
+
+
+def _url(told: Any) -> str:
+    """A whole URL; what is relative would lead to here, where it is not served."""
+    return told if isinstance(told, str) and urlsplit(told).scheme in ("http", "https") else ""
+
+
+def _urls(told: Any) -> tuple[str, ...]:
+    return tuple(url for url in map(_url, told) if url) if isinstance(told, list) else ()
+
+
+def _status(told: Any) -> str:
+    # An unknown word is none of the specification's: clients take such a project for an active one.
+    return str(told) if told in _STATUSES else ""
 
 
 def _from_html(text: str, project: str, path: str, hosts: set[str]) -> Index:
     links = _Links()
     links.feed(text)
     links.close()
+    minor = _minor(links.meta.get("repository-version", ["1.0"])[0])
     if not project:
-        return Index("", projects=tuple("".join(said).strip() for _, said in links.links))
+        return Index("", projects=tuple("".join(said).strip() for _, said in links.links), minor=minor)
     files = []
     for attrs, said in links.links:
         url, fragment = urldefrag(attrs.get("href") or "")
         algorithm, _, digest = fragment.partition("=")
         yanked: str | bool = (attrs["data-yanked"] or True) if "data-yanked" in attrs else False
+        told = attrs.get("data-core-metadata", attrs.get("data-dist-info-metadata")) or ""
+        kind, _, value = told.partition("=")
+        signed = attrs.get("data-gpg-sig")
         files.append(
             File(
                 "".join(said).strip(),
@@ -185,9 +261,25 @@
                 digest.lower() if algorithm == "sha256" else "",
                 attrs.get("data-requires-python") or "",
                 yanked,
+                metadata=_metadata({kind: value}),
+                signed=None if signed is None else signed == "true",
+                provenance=_url(attrs.get("data-provenance")),
             )
         )
-    return Index(project, tuple(f for f in files if _servable(f)))
+    return Index(
+        project,
+        _offered(files, next(iter(links.meta.get("project-status", ())), "")),
+        minor=minor,
+        status=_status(next(iter(links.meta.get("project-status", ())), "")),
+        status_reason=next(iter(links.meta.get("project-status-reason", ())), ""),
+        tracks=_urls(links.meta.get("tracks")),
+        alternates=_urls(links.meta.get("alternate-locations")),
+    )
+
+
+def _offered(files: Iterable[File], status: object) -> tuple[File, ...]:
+    """The files that may be served: none of a quarantined project, whatever upstream names (PEP 792)."""
+    return () if status == "quarantined" else tuple(f for f in files if _servable(f))
 
 
 def _servable(file: File) -> bool:
@@ -196,7 +288,7 @@
 
 def pack_index(index: Index) -> bytes:
     """The canonical text that the core carries."""
-    return render_json(index, lambda f: f.url)
+    return render_json(index, lambda f: f.url, index.minor)
 
 
 @lru_cache(maxsize=64)
@@ -205,45 +297,92 @@
     return read_index(body, JSON, f"/simple/{project}/" if project else "/simple/")
 
 
-def render_json(index: Index, place: Any) -> bytes:
-    top: dict[str, Any] = {"meta": {"api-version": "1.0"}}
+def _told_minor(index: Index) -> int:
+    """From 1.1 on versions and sizes must be there (PEP 700): without them an index is one of 1.0."""
+    whole = not index.project or (bool(index.versions) and all(f.size is not None for f in index.files))
+    return index.minor if whole else 0
+
+
+def render_json(index: Index, place: Any, minor: int | None = None) -> bytes:
+    minor = _told_minor(index) if minor is None else minor
+    meta: dict[str, Any] = {"api-version": f"1.{minor}"}
+    top: dict[str, Any] = {"meta": meta}
     if not index.project:
         top["projects"] = [{"name": name} for name in index.projects]
-    else:
-        top["name"] = index.project
-        top["files"] = [
-            {
-                "filename": f.name,
-                "url": place(f),
-                "hashes": {"sha256": f.digest},
-                **({"requires-python": f.requires_python} if f.requires_python else {}),
-                **({"yanked": f.yanked} if f.yanked else {}),
-                **({"size": f.size} if f.size is not None else {}),
-                **({"upload-time": f.uploaded} if f.uploaded else {}),
-            }
-            for f in index.files
-        ]
+        return json.dumps(top, separators=(",", ":")).encode()
+    if index.tracks:
+        meta["tracks"] = list(index.tracks)
+    top["name"] = index.project
+    if index.versions:
+        top["versions"] = list(index.versions)
+    if index.status:
+        top["project-status"] = {"status": index.status}
+        if index.status_reason:
+            top["project-status"]["reason"] = index.status_reason
+    if index.alternates:
+        top["alternate-locations"] = list(index.alternates)
+    top["files"] = [_entry(f, place(f)) for f in index.files]
     return json.dumps(top, separators=(",", ":")).encode()
 
 
+def _entry(file: File, place: str) -> dict[str, Any]:
+    entry: dict[str, Any] = {"filename": file.name, "url": place, "hashes": {"sha256": file.digest}}
+    if file.requires_python:
+        entry["requires-python"] = file.requires_python
+    if file.yanked:
+        entry["yanked"] = file.yanked
+    if file.size is not None:
+        entry["size"] = file.size
+    if file.uploaded:
+        entry["upload-time"] = file.uploaded
+    if file.metadata:
+        # Under both names: clients from before PEP 714 know only the second.
+        entry["core-metadata"] = entry["dist-info-metadata"] = {"sha256": file.metadata}
+    if file.signed is not None:
+        entry["gpg-sig"] = file.signed
+    if file.provenance:
+        entry["provenance"] = file.provenance
+    return entry
+
+
+def _meta(name: str, value: str) -> str:
+    return f'<meta name="pypi:{name}" content="{html.escape(value)}">'
+
+
 def render_html(index: Index) -> bytes:
     if not index.project:
         lines = [f'<a href="/simple/{normal(p)}/">{html.escape(p)}</a><br>' for p in index.projects]
     else:
-        lines = []
-        for f in index.files:
-            more = ""
-            if f.requires_python:
-                more += f' data-requires-python="{html.escape(f.requires_python)}"'
-            if f.yanked:
-                more += f' data-yanked="{html.escape(f.yanked) if isinstance(f.yanked, str) else ""}"'
-            url = f"{file_path(index.project, f)}#sha256={f.digest}"
-            lines.append(f'<a href="{url}"{more}>{html.escape(f.name)}</a><br>')
+        lines = [_anchor(index.project, f) for f in index.files]
     title = html.escape(index.project or "Simple index")
-    start = '<!DOCTYPE html>\n<html><head><meta name="pypi:repository-version" content="1.0">'
+    metas = [_meta("repository-version", f"1.{index.minor}")]
+    if index.status:
+        metas.append(_meta("project-status", index.status))
+    if index.status_reason:
+        metas.append(_meta("project-status-reason", index.status_reason))
+    metas += [_meta("tracks", url) for url in index.tracks]
+    metas += [_meta("alternate-locations", url) for url in index.alternates]
+    start = f"<!DOCTYPE html>\n<html><head>{''.join(metas)}"
     return "\n".join([f"{start}<title>{title}</title></head><body>", *lines, "</body></html>\n"]).encode()
 
 
+def _anchor(project: str, file: File) -> str:
+    more = ""
+    if file.requires_python:
+        more += f' data-requires-python="{html.escape(file.requires_python)}"'
+    if file.yanked:
+        more += f' data-yanked="{html.escape(file.yanked) if isinstance(file.yanked, str) else ""}"'
+    if file.metadata:
+        told = f"sha256={file.metadata}"
+        more += f' data-core-metadata="{told}" data-dist-info-metadata="{told}"'
+    if file.signed is not None:
+        more += f' data-gpg-sig="{str(file.signed).lower()}"'
+    if file.provenance:
+        more += f' data-provenance="{html.escape(file.provenance)}"'
+    url = f"{file_path(project, file)}#sha256={file.digest}"
+    return f'<a href="{url}"{more}>{html.escape(file.name)}</a><br>'
+
+
 def render(index: Index, media: str) -> bytes:
     if media == JSON:
         return render_json(index, lambda f: file_path(index.project, f))
