Second front: kept indexes past their time when all upstreams fail; known absences

Need: with every upstream down the front answered 502 though it held an index of a minute ago; an unknown project cost three requests upstream each time it was asked for.

Change: a copy past its fresh time, within the class's grace, beats an error on the second front. It is marked by Cache-Status, and is never from before a purge, nor served while the change log is silent. What a source lacks is kept in a bounded table for absent_ms and forgotten at a purge of the object or its group. The platform's front keeps its rules: both are off there.

--- a/hallproxy/run/repository.py
+++ b/hallproxy/run/repository.py
@@ -38,6 +38,7 @@
 IDLE = 30.0  # s that a connection waits for its next request, and for the rest of its head
 FIRST_IN = 5.0  # s for a connection's first whole head: who says nothing must not hold a place
 FORMS_MOST = 16 * 1024 * 1024  # bytes of indexes kept in the forms they were served in
+STALE = "hallproxy; hit; detail=stale-if-error"  # RFC 9211; every upstream failed, no purge was heard
 VARY = "Accept, Accept-Encoding"
 UNSENT_MOST = 96 * 1024 * 1024  # bytes waiting for slow clients, all together
 WRITE = 60.0  # s for a client to take an answer
@@ -278,6 +279,8 @@
         body, tag = self._rendered(said, index, media, coding)
         # no-cache: a client's own copy must be asked about each time, or it could outlive a purge.
         fields = {"ETag": f'"{tag}"', "Cache-Control": "no-cache", "Vary": VARY, "Age": self._age(said)}
+        if said.stale:
+            fields["Cache-Status"] = STALE
         if simple.same(tag, head.fields.get("if-none-match", "")):
             return Response(304, b"", fields)
         fields["Content-Type"] = f"{media}; charset=utf-8" if "html" in media else media
--- a/hallproxy/run/repository_config.py
+++ b/hallproxy/run/repository_config.py
@@ -12,7 +12,8 @@
 from hallproxy.wire.bench import settings_from_json
 
 INDEX, PACKAGE = "index", "package"  # the classes that its settings must name
-KEYS = ("listen", "changelog", "contracts", "file_most_mb", "copies_mb", "upstream", "settings")
+KEYS = ("listen", "changelog", "contracts", "file_most_mb", "copies_mb", "absent_ms", "upstream",
+        "settings")  # fmt: skip
 
 
 @dataclass(slots=True, frozen=True)
@@ -22,6 +23,7 @@
     contracts: Path | None  # the applied state; None: no contracts are kept
     file_most: int  # bytes
     copies_most: int  # bytes
+    absent: int  # ns for which an answer "not there" holds
     upstreams: tuple[tuple[str, str], ...]  # id, address
     settings: i.Settings
 
@@ -53,6 +55,7 @@
             contracts=path.parent / str(contracts) if contracts else None,
             file_most=_megabytes(top, "file_most_mb", 16),
             copies_most=_megabytes(top, "copies_mb", 64),
+            absent=_milliseconds(top, "absent_ms", 1000, 60_000),
             upstreams=upstreams,
             settings=settings,
         )
@@ -64,6 +67,13 @@
         raise ConfigError(f"{path}: {error}") from None
 
 
+def _milliseconds(top: dict[str, object], key: str, default: int, most: int) -> int:
+    value = top.get(key, default)
+    if type(value) is not int or not 0 <= value <= most:
+        raise ConfigError(f"{key} is {value!r}, not from 0 to {most}")
+    return value * 1_000_000
+
+
 def _megabytes(top: dict[str, object], key: str, default: int) -> int:
     value = top.get(key, default)
     if type(value) is not int or not 0 <= value <= 1024:
--- a/hallproxy/run/repository_main.py
+++ b/hallproxy/run/repository_main.py
@@ -40,12 +40,13 @@
         copies=config.copies_most,
         bodies=64 * MB,
         small=MB,
+        absent=config.absent,
     )
 
 
 def new_state(config: RepositoryConfig) -> State:
     state = State(config.settings, Router(config.settings, secrets.randbits(64)), bounds(config))
-    state.purge_strict = True
+    state.purge_strict = state.stale_if_error = True
     return state
 
 
--- a/hallproxy/state/bounds.py
+++ b/hallproxy/state/bounds.py
@@ -17,5 +17,6 @@
     unsent: int = 24 * MB  # bytes that all clients together leave unread
     idle: int = 10**10  # ns; how long an idle connection to a store is kept
     copies: int = 0  # bytes of own copies
+    absent: int = 0  # ns for which an answer "not there" holds; 0: it never does
     flow: int = 0  # bytes a second of one transfer of an own copy; 0: not told
     uplink: int = 0  # bytes a second of all such transfers together
--- a/hallproxy/state/calls.py
+++ b/hallproxy/state/calls.py
@@ -43,6 +43,9 @@
         state.effects.append(Reply(event.caller, own))
         state.told.append(i.Seen(asked.object))
         return
+    if _known_absent(state, asked):
+        state.effects.append(Reply(event.caller, Answer(Verdict.FAILED, reason=Reason.ABSENT)))
+        return
     call = Call(state.number(), event.caller, asked, state.now)
     waits = False
     if state.broker is not None and contract is not None:
@@ -57,6 +60,22 @@
         begin(state, call)
 
 
+def _place(asked: Asked) -> tuple[int, int, int]:
+    return asked.cls, asked.object, asked.part
+
+
+def _known_absent(state: State, asked: Asked) -> bool:
+    deaf = state.heard_at and state.now - state.heard_at > DEAF_AFTER  # a purge may have gone unheard
+    return not deaf and not asked.digest and state.absent.holds(_place(asked), state.now)
+
+
+def lacked(state: State, call: Call, asked_at: int) -> None:
+    """A source does not have it. Known bytes under a digest are another matter: their index is asked anew."""
+    asked = call.asked
+    if state.absent.keep and not asked.digest and not asked.write:
+        state.absent.put(_place(asked), asked.group, asked_at, state.purges.last(asked.object, asked.group))
+
+
 def begin(state: State, call: Call) -> None:
     """The module hears of the request."""
     asked = call.asked
@@ -76,20 +95,29 @@
     )
 
 
-def own_copy(state: State, asked: Asked, by: float, left: int) -> Answer | None:
-    """An answer from memory, if a copy is young enough and the link would have it there in time."""
+def own_copy(state: State, asked: Asked, by: float, left: int, in_need: bool = False) -> Answer | None:
+    """An answer from memory, if a copy is young enough and the link would have it there in time.
+
+    ``in_need``: the alternative is an error. Then one past its fresh time will do where that is allowed, but
+    never one from before a purge.
+    """
     if state.heard_at and state.now - state.heard_at > DEAF_AFTER:
         # Stores drop what was purged by themselves, in time. A copy here would outlive a purge not heard of.
         return None
     cls = state.settings.classes[asked.cls]
-    place = (asked.cls, asked.object, asked.part)
+    place = _place(asked)
     copy = state.copies.get(place) if state.copies.held and not asked.write else None
     if copy is None:
         return None
-    too_old = cls.fresh and state.now - copy.born > cls.fresh - AGE_MARGIN
-    if too_old or copy.born <= state.purges.last(asked.object, copy.group):
+    age, grace = state.now - copy.born, cls.grace if state.stale_if_error else 0
+    stale = bool(cls.fresh) and age > cls.fresh - AGE_MARGIN
+    if (stale and age > cls.fresh + grace) or copy.born <= state.purges.last(asked.object, copy.group):
         state.copies.drop(place)
         return None
+    if stale and not (in_need and grace):
+        if not grace:
+            state.copies.drop(place)
+        return None
     unchanged = bool(copy.tag) and copy.tag == asked.held
     size = len(copy.body) // UNCHANGED_PART if unchanged else len(copy.body)
     work = asked.size_kb / state.settings.flow_kb_s if state.settings.flow_kb_s else 0.0
@@ -99,7 +127,8 @@
         return None  # the link is crowded: a store sends it sooner
     state.uplink.take(state.now, size)
     state.own_served += 1
-    return Answer(Verdict.SERVED, b"" if unchanged else copy.body, unchanged, tag=copy.tag, born=copy.born)
+    body = b"" if unchanged else copy.body
+    return Answer(Verdict.SERVED, body, unchanged, tag=copy.tag, born=copy.born, stale=stale)
 
 
 def keep(state: State, call: Call, get: i.Get, result: Result) -> None:
@@ -110,7 +139,7 @@
     if result.born <= state.purges.last(asked.object, asked.group):
         return
     copy = Copy(result.body, result.tag, result.born, asked.group, get.keep)
-    state.copies.put((asked.cls, asked.object, asked.part), copy)
+    state.copies.put(_place(asked), copy)
 
 
 def left(state: State, caller: int) -> None:
@@ -162,7 +191,9 @@
             reason = Reason.BUSY
         answer = replace(answer, reason=reason)
         left = call.came + call.asked.left - state.now
-        reply(state, call, own_copy(state, call.asked, 1.0, left) or answer)
+        # What a source says it lacks is no error to be helped over.
+        in_need = reason not in (Reason.ABSENT, Reason.REPLACED)
+        reply(state, call, own_copy(state, call.asked, 1.0, left, in_need) or answer)
 
 
 def forget(state: State, call: Call) -> None:
--- a/hallproxy/state/events.py
+++ b/hallproxy/state/events.py
@@ -47,6 +47,7 @@
     tag: str = ""
     born: int = 0  # ns; when the origin gave out what is served
     reason: Reason = Reason.NONE
+    stale: bool = False  # past its fresh time: nothing younger was to be had
 
 
 @dataclass(slots=True, frozen=True)
--- a/hallproxy/state/links.py
+++ b/hallproxy/state/links.py
@@ -249,6 +249,8 @@
     else:
         said = result.reason if result is not None else Reason.NONE
         call.reason = REASONS[status] if said is Reason.NONE else said
+        if said is Reason.ABSENT:
+            calls.lacked(state, call, one.sent_at)
         if call.asked.digest and call.reason in (Reason.ABSENT, Reason.REPLACED):
             # What named these bytes is out of date: served again from here, it would name them again.
             state.copies.purge(call.asked.object, 0, state.now)
--- a/hallproxy/state/model.py
+++ b/hallproxy/state/model.py
@@ -8,6 +8,7 @@
 from hallproxy import interface as i
 from hallproxy.broker.broker import Broker
 from hallproxy.logic import Router
+from hallproxy.state.absent import Absent
 from hallproxy.state.bounds import Bounds
 from hallproxy.state.copies import Copies, Uplink
 from hallproxy.state.effects import Effect, Order
@@ -67,6 +68,8 @@
     uplink: Uplink = field(default_factory=Uplink)
     own_served: int = 0
     heard_at: int = 0  # when all news there was had been heard; 0: there is nobody to hear it from
+    absent: Absent = field(default_factory=Absent)
+    stale_if_error: bool = False  # a copy past its fresh time, within its grace, beats an error
     purge_strict: bool = False  # also what was sent before a purge was heard may not be older at its answer
     broker: Broker | None = None  # None: no contracts are kept here
     members: Members = field(default_factory=Members)
@@ -89,6 +92,7 @@
     def bound(self, bounds: Bounds) -> None:
         self.bounds = bounds
         self.copies.resize(bounds.copies)
+        self.absent.keep = bounds.absent
         self.uplink.flow, self.uplink.link = bounds.flow, bounds.uplink
 
     def number(self) -> int:
--- a/hallproxy/state/reducer.py
+++ b/hallproxy/state/reducer.py
@@ -115,4 +115,5 @@
 def _purge(state: State, event: PurgeTold) -> None:
     state.purges.add(event.object, event.group, event.purged)
     state.copies.purge(event.object, event.group, event.purged)
+    state.absent.purge(event.object, event.group, event.purged)
     state.told.append(i.Purge(event.object, event.group, max(0, state.now - event.purged)))
--- a/hallproxy/state/teams.py
+++ b/hallproxy/state/teams.py
@@ -76,7 +76,7 @@
     said = broker.seek(call.ident, ask, contract, state.now)
     if isinstance(said, Refusal):
         # A copy held here, too crowded a link or not, still beats a refusal.
-        own = calls.own_copy(state, call.asked, 1.0, call.asked.left)
+        own = calls.own_copy(state, call.asked, 1.0, call.asked.left, in_need=True)
         if own is not None:
             broker.served_own(ask, contract, len(own.body), state.now)
         return own or _answer(said), False
@@ -103,7 +103,8 @@
     if state.broker is None or call is None or call.answered or not state.broker.waits(ident):
         return
     refusal = _answer(state.broker.crowded(ident, state.now))
-    own = calls.own_copy(state, call.asked, 1.0, call.came + call.asked.left - state.now)
+    left = call.came + call.asked.left - state.now
+    own = calls.own_copy(state, call.asked, 1.0, left, in_need=True)
     calls.reply(state, call, own or refusal)
 
 
@@ -113,7 +114,7 @@
         return
     safe = state.settings.classes[call.asked.cls].effect is i.Effect.SAFE
     verdict = Verdict.REFUSED if safe else Verdict.FAILED
-    own = calls.own_copy(state, call.asked, 1.0, call.came + call.asked.left - state.now)
+    own = calls.own_copy(state, call.asked, 1.0, call.came + call.asked.left - state.now, in_need=True)
     back = calls.BUSY_RETRY if safe else 0
     calls.reply(state, call, own or Answer(verdict, reason=reason, retry_after=back))
 
--- /dev/null
+++ b/tests/test_degraded.py
@@ -0,0 +1,126 @@
+"""When upstream fails or lacks what is asked: kept indexes past their time, and what is not there."""
+
+from __future__ import annotations
+
+import pytest
+
+from hallproxy import interface as i
+from hallproxy.state import effects, events
+from hallproxy.state.absent import Absent
+from hallproxy.state.bounds import Bounds
+from hallproxy.wire import simple
+from tests.gateway import response, until
+from tests.test_repository import DEPLOY, PROJECT, Front, front  # noqa: F401
+from tests.test_state import MS, SECOND, Core
+
+SHORT = DEPLOY.replace("fresh_for_ns = [10_000_000_000, 0]", "fresh_for_ns = [300_000_000, 0]")
+PATH = f"/simple/{PROJECT}/"
+
+
+def broken(front: Front) -> None:  # noqa: F811
+    front.stands[0].hook = lambda _: response(500)
+
+
+def kept(front: Front) -> str:  # noqa: F811
+    """An index asked for until it is kept; its digest."""
+    for _ in range(6):
+        got = front.get(PATH, Accept=simple.JSON)
+        assert got.status == 200 and "cache-status" not in got.fields
+    return got.fields["etag"]
+
+
+def test_a_kept_index_is_served_past_its_time_when_upstream_fails_and_marked(front: Front) -> None:  # noqa: F811
+    assert SHORT != DEPLOY
+    front.start(SHORT)
+    tag = kept(front)
+    broken(front)
+    got = until(lambda: (g := front.get(PATH, Accept=simple.JSON)).fields.get("cache-status") and g)
+    assert got.status == 200 and got.fields["etag"] == tag and "stale-if-error" in got.fields["cache-status"]
+    front.stands[0].hook = None
+    fresh = front.get(PATH, Accept=simple.JSON)
+    assert fresh.status == 200 and "cache-status" not in fresh.fields
+
+
+def test_never_one_from_before_a_purge(front: Front) -> None:  # noqa: F811
+    front.start(SHORT)
+    kept(front)
+    broken(front)
+    assert until(lambda: front.get(PATH, Accept=simple.JSON).fields.get("cache-status"))
+    front.purge()
+    assert front.get(PATH, Accept=simple.JSON).status == 502
+
+
+def test_none_where_the_grace_is_over_or_there_is_none(front: Front) -> None:  # noqa: F811
+    grace = "usable_after_ns = [3_600_000_000_000, 0]"
+    assert grace in SHORT
+    front.start(SHORT.replace(grace, "usable_after_ns = [0, 0]"))
+    kept(front)
+    broken(front)
+    assert until(lambda: front.get(PATH, Accept=simple.JSON).status == 502)
+
+
+def test_what_upstream_says_it_lacks_is_no_failure_to_help_over(front: Front) -> None:  # noqa: F811
+    front.start(SHORT.replace("absent_ms = 1000", "absent_ms = 0"))
+    kept(front)
+    front.stands[0].hook = lambda _: response(404)
+    assert until(lambda: front.get(PATH, Accept=simple.JSON).status == 404)
+
+
+def test_an_unknown_project_asks_upstream_no_more_until_a_purge(front: Front) -> None:  # noqa: F811
+    front.start(DEPLOY.replace("absent_ms = 1000", "absent_ms = 60_000"))
+    stand = front.stands[0]
+    stand.hook = lambda _: response(404)
+    assert front.get(PATH, Accept=simple.JSON).status == 404
+    asked = len(stand.http.seen)
+    for _ in range(5):
+        assert front.get(PATH, Accept=simple.JSON).status == 404
+    assert len(stand.http.seen) == asked
+    stand.hook = None
+    front.purge()
+    assert front.get(PATH, Accept=simple.JSON).status == 200
+
+
+@pytest.mark.parametrize("text", ["absent_ms = -1", "absent_ms = 60_001", 'absent_ms = "1"'])
+def test_a_time_out_of_range_is_one_plain_line(front: Front, text: str) -> None:  # noqa: F811
+    from hallproxy.run.config import ConfigError
+    from hallproxy.run.repository_config import load
+
+    (front.path / "bad.toml").write_text(DEPLOY.replace("absent_ms = 1000", text))
+    with pytest.raises(ConfigError, match="absent_ms"):
+        load(front.path / "bad.toml")
+
+
+def test_absent_is_bounded_forgets_and_minds_purges() -> None:
+    absent = Absent(keep=100, most=3)
+    for n in range(5):
+        absent.put((0, n, 0), n % 2, n, 0)
+    assert len(absent) == 3 and not absent.holds((0, 1, 0), 10) and absent.holds((0, 4, 0), 10)
+    absent.purge(4, 0, 3)  # it was asked for after that purge
+    assert absent.holds((0, 4, 0), 10)
+    absent.purge(0, 1, 9)
+    assert not absent.holds((0, 3, 0), 10) and absent.holds((0, 2, 0), 10)
+    assert not absent.holds((0, 2, 0), 102) and absent.holds((0, 4, 0), 103) and len(absent) == 1
+    absent.put((0, 9, 0), 0, 50, 50)  # asked for before it was purged: it may be there now
+    assert not absent.holds((0, 9, 0), 60)
+
+
+def test_what_the_change_log_could_not_tell_ends_what_is_known_absent() -> None:
+    core = Core(stores=1, bounds=Bounds(absent=60 * SECOND))
+    core.bring(events.NewsHeard(core.now))
+
+    def ask(caller: int) -> list[effects.Effect]:
+        return core.ask(caller, obj=7)
+
+    opened = next(e for e in ask(1) if isinstance(e, effects.Open))
+    core.bring(events.LinkUp(core.now, opened.link))
+    core.now += 10 * MS
+    lacks = events.Result(i.Status.MISS, reason=events.Reason.ABSENT)
+    for _ in range(8):
+        if 1 in core.state.callers:
+            one = next(iter(core.state.attempts.values()))
+            core.bring(events.LinkUp(core.now, one.link))
+            core.bring(events.Answered(core.now, one.link, lacks, True))
+    done = [e for e in ask(2) if isinstance(e, effects.Reply)]
+    assert done and done[0].answer.reason is events.Reason.ABSENT
+    core.now += 6 * SECOND  # no news for longer than a purge takes to count as told
+    assert not [e for e in ask(3) if isinstance(e, effects.Reply)]
