--- a/hallproxy/run/repository_main.py
+++ b/hallproxy/run/repository_main.py
@@ -46,7 +46,7 @@
 
 def new_state(config: RepositoryConfig) -> State:
     state = State(config.settings, Router(config.settings, secrets.randbits(64)), bounds(config))
-    state.purge_strict = state.stale_if_error = True
+    state.purge_strict = state.keeps_old = True
     return state
 
 
--- a/hallproxy/state/calls.py
+++ b/hallproxy/state/calls.py
@@ -109,7 +109,7 @@
     copy = state.copies.get(place) if state.copies.held and not asked.write else None
     if copy is None:
         return None
-    age, grace = state.now - copy.born, cls.grace if state.stale_if_error else 0
+    age, grace = state.now - copy.born, cls.grace if state.keeps_old else 0
     stale = bool(cls.fresh) and age > cls.fresh - AGE_MARGIN
     if (stale and age > cls.fresh + grace) or copy.born <= state.purges.last(asked.object, copy.group):
         state.copies.drop(place)
@@ -131,6 +131,22 @@
     return Answer(Verdict.SERVED, body, unchanged, tag=copy.tag, born=copy.born, stale=stale)
 
 
+def condition(state: State, asked: Asked) -> str:
+    """The validator of a copy held here, to ask by; bytes under a digest never change: not for them."""
+    if not state.keeps_old or asked.digest or asked.write:
+        return ""
+    copy = state.copies.get(_place(asked))
+    return copy.validator if copy is not None else ""
+
+
+def renewed(state: State, asked: Asked, validator: str, result: Result) -> Result:
+    """The copy that a source says is still the one, as young as that word; a miss where it is gone."""
+    copy = state.copies.get(_place(asked))
+    if copy is None or not validator or copy.validator != validator:
+        return Result(i.Status.MISS, reason=Reason.BUSY)
+    return replace(result, body=copy.body, tag=copy.tag, validator=validator)
+
+
 def keep(state: State, call: Call, get: i.Get, result: Result) -> None:
     """Keep what the module ranks for keeping, unless a purge has overtaken it on its way here."""
     asked = call.asked
@@ -138,7 +154,7 @@
         return
     if result.born <= state.purges.last(asked.object, asked.group):
         return
-    copy = Copy(result.body, result.tag, result.born, asked.group, get.keep)
+    copy = Copy(result.body, result.tag, result.born, asked.group, get.keep, result.validator)
     state.copies.put(_place(asked), copy)
 
 
--- a/hallproxy/state/copies.py
+++ b/hallproxy/state/copies.py
@@ -16,6 +16,7 @@
     born: int
     group: int
     rank: int
+    validator: str = ""  # what the source calls this state of it; empty: not told
 
 
 @dataclass(slots=True)
--- a/hallproxy/state/effects.py
+++ b/hallproxy/state/effects.py
@@ -44,6 +44,7 @@
     no_parent_copy: bool = False
     renew: bool = False
     digest: str = ""
+    validator: str = ""  # of the copy held here: bytes are wanted only if it is another by now
 
 
 @dataclass(slots=True, frozen=True)
--- a/hallproxy/state/events.py
+++ b/hallproxy/state/events.py
@@ -116,6 +116,8 @@
     born: int = 0  # ns; 0 where it is not told
     load: tuple[float, ...] = ()
     reason: Reason = Reason.NONE
+    validator: str = ""  # what the source calls this state of it, to ask by condition next time
+    renewed: bool = False  # the copy held here is still the one; it came without bytes
 
 
 @dataclass(slots=True, frozen=True)
--- a/hallproxy/state/links.py
+++ b/hallproxy/state/links.py
@@ -91,6 +91,7 @@
         return _over(state, one, i.Status.MOOT)
     one.written = call.tried = True
     asked = call.asked
+    one.validator = calls.condition(state, asked)
     order = Order(
         label=asked.label,
         cls=asked.cls,
@@ -109,6 +110,7 @@
         no_parent_copy=bool(how & i.How.NO_PARENT_COPY),
         renew=bool(how & i.How.RENEW),
         digest=asked.digest,
+        validator=one.validator,
     )
     state.effects.append(Send(link.ident, order))
 
@@ -124,6 +126,8 @@
     if one is None:
         return
     result = event.result
+    if result.renewed:
+        result = calls.renewed(state, state.calls[one.request].asked, one.validator, result)
     if result.status is i.Status.OK and state.purge_strict:
         asked = state.calls[one.request].asked
         if result.born <= state.purges.last(asked.object, asked.group):
--- a/hallproxy/state/model.py
+++ b/hallproxy/state/model.py
@@ -29,6 +29,7 @@
     until: int
     link: int = 0  # 0: waits for a connection's place
     written: bool = False
+    validator: str = ""  # it was asked by this condition
     counted: bool = False  # the broker has heard of it
 
 
@@ -69,7 +70,7 @@
     own_served: int = 0
     heard_at: int = 0  # when all news there was had been heard; 0: there is nobody to hear it from
     absent: Absent = field(default_factory=Absent)
-    stale_if_error: bool = False  # a copy past its fresh time, within its grace, beats an error
+    keeps_old: bool = False  # copies past their fresh time are kept for their grace: to renew, and in need
     purge_strict: bool = False  # also what was sent before a purge was heard may not be older at its answer
     broker: Broker | None = None  # None: no contracts are kept here
     members: Members = field(default_factory=Members)
--- a/hallproxy/wire/simple.py
+++ b/hallproxy/wire/simple.py
@@ -37,6 +37,7 @@
     "application/vnd.pypi.simple.latest+json": JSON,
     "application/vnd.pypi.simple.latest+html": HTML,
 }
+_TAG = re.compile(r'(?:W/)?"[!#-~]*"')
 _DIGEST = re.compile(r"[0-9a-f]{64}")
 _PROJECT = re.compile(r"[A-Za-z0-9](?:[A-Za-z0-9._-]{0,198}[A-Za-z0-9])?")
 _FILE = re.compile(r"[A-Za-z0-9][A-Za-z0-9._+!~-]{0,254}")
@@ -419,6 +420,11 @@
     return "*" in held or f'"{tag}"' in held
 
 
+def _validator(field: str) -> str:
+    """An entity tag that may be sent back as it came; empty: it is none."""
+    return field if len(field) <= 256 and _TAG.fullmatch(field) else ""
+
+
 # What goes upstream --------------------------------------------------------------------------------------
 
 
@@ -438,6 +444,8 @@
         lines = [f"GET {order.name} HTTP/1.1", f"Host: {host}", "User-Agent: hallproxy"]
         if not order.digest:
             lines.append(f"Accept: {JSON}, {HTML};q=0.2, {PLAIN_HTML};q=0.1")
+        if order.validator:
+            lines.append(f"If-None-Match: {order.validator}")
         if order.max_age:
             # After a purge: nothing that a cache on the way has held since before it.
             lines.append(f"Cache-Control: max-age={order.max_age // SECOND}")
@@ -449,11 +457,13 @@
             return Result(i.Status.MISS, reason=Reason.ABSENT)
         if head.status in (429, 503):
             return Result(i.Status.FULL, reason=Reason.BUSY)
-        if head.status != 200:
+        if head.status != 200 and not (head.status == 304 and order.validator):
             return Result(i.Status.ERROR, reason=Reason.ERROR)
         # Made after the request went out, unless a cache on the way says how long it has held it.
         age = head.fields.get("age", "0")
         born = sent_at - (int(age) + 1) * SECOND if age.isdigit() and int(age) else sent_at
+        if head.status == 304:
+            return Result(i.Status.OK, born=born, renewed=True)
         if order.digest:
             if hashlib.sha256(body).hexdigest() != order.digest:
                 return Result(i.Status.MISS, reason=Reason.REPLACED)
@@ -463,5 +473,7 @@
             packed = pack_index(read_index(body, media, order.name, self._hosts))
         except BadIndex:
             return Result(i.Status.ERROR, reason=Reason.ERROR)
-        return Result(i.Status.OK, packed, False, hashlib.sha256(packed).hexdigest(), born)
+        tag = hashlib.sha256(packed).hexdigest()
+        validator = _validator(head.fields.get("etag", ""))
+        return Result(i.Status.OK, packed, False, tag, born, validator=validator)
 
--- a/tests/test_degraded.py
+++ b/tests/test_degraded.py
@@ -5,11 +5,12 @@
 import pytest
 
 from hallproxy import interface as i
-from hallproxy.state import effects, events
+from hallproxy.state import calls, effects, events
 from hallproxy.state.absent import Absent
 from hallproxy.state.bounds import Bounds
+from hallproxy.state.copies import Copy
 from hallproxy.wire import simple
-from tests.gateway import response, until
+from tests.gateway import Seen, response, until
 from tests.test_repository import DEPLOY, PROJECT, Front, front  # noqa: F401
 from tests.test_state import MS, SECOND, Core
 
@@ -80,6 +81,57 @@
     assert front.get(PATH, Accept=simple.JSON).status == 200
 
 
+def test_an_index_past_its_time_is_renewed_by_condition(front: Front) -> None:  # noqa: F811
+    """And bytes come again once upstream calls it by another tag, or forgets what a condition is."""
+    stand = front.stands[0]
+    tags = ['W/"one"']
+
+    def reply(seen: Seen) -> bytes | None:
+        if seen.path != PATH:
+            return b"pass"
+        if seen.fields.get("if-none-match") == tags[0]:
+            return response(304, ETag=tags[0])
+        return stand._index().replace(b"\r\n", f"\r\nETag: {tags[0]}\r\n".encode(), 1)
+
+    stand.hook = reply
+    front.start(SHORT)
+    tag = kept(front)
+
+    def conditions() -> list[str]:
+        return [s.fields["if-none-match"] for s in stand.http.seen if "if-none-match" in s.fields]
+
+    def asks() -> bool:
+        assert front.get(PATH, Accept=simple.JSON).fields["etag"] == tag
+        return len(conditions()) >= 3
+
+    assert until(asks) and set(conditions()) == {'W/"one"'}
+    stand.files["a-1.whl"] = b"A" * 3000
+    tags[0] = '"two"'
+    assert until(lambda: front.get(PATH, Accept=simple.JSON).fields["etag"] != tag)
+    front.purge()
+    asked = len(stand.http.seen)
+    front.get(PATH, Accept=simple.JSON)
+    assert "if-none-match" not in stand.http.seen[asked].fields  # what was purged is asked for whole
+
+
+@pytest.mark.parametrize("tag", ['"a b"', "bare", '"x', 'W/ "x"', '"' + "x" * 300 + '"', '"\x7f"'])
+def test_what_is_no_entity_tag_is_not_sent_back(tag: str) -> None:
+    assert simple._validator(tag) == "" and simple._validator('W/"x"') == 'W/"x"'
+
+
+def test_a_renewal_whose_copy_is_gone_is_no_answer() -> None:
+    """A purge on the way: the source's word is of what is no longer held."""
+    core = Core(stores=1)
+    asked = events.Asked("x", 1, SECOND, 7, "7")
+    said = events.Result(i.Status.OK, born=core.now, renewed=True)
+    assert calls.renewed(core.state, asked, '"t"', said).status is i.Status.MISS
+    core.state.copies.resize(1000)
+    core.state.copies.put((1, 7, 0), Copy(b"body", "tag", core.now, 0, 1, '"t"'))
+    good = calls.renewed(core.state, asked, '"t"', said)
+    assert (good.status, good.body, good.tag) == (i.Status.OK, b"body", "tag")
+    assert calls.renewed(core.state, asked, '"other"', said).status is i.Status.MISS
+
+
 @pytest.mark.parametrize("text", ["absent_ms = -1", "absent_ms = 60_001", 'absent_ms = "1"'])
 def test_a_time_out_of_range_is_one_plain_line(front: Front, text: str) -> None:  # noqa: F811
     from hallproxy.run.config import ConfigError
