Large indexes are read and written in small steps off the loop; served forms and lookups kept

Cause: one index of 100,000 files held up every other request for 9.8 s: taken apart URL by URL, packed, unpacked and rendered in single calls on the loop. A file was found by a walk over its index.

--- a/hallproxy/run/repository.py
+++ b/hallproxy/run/repository.py
@@ -39,6 +39,7 @@
 FIRST_IN = 5.0  # s for a connection's first whole head: who says nothing must not hold a place
 FORMS_MOST = 16 * 1024 * 1024  # bytes of indexes kept in the forms they were served in
 STALE = "hallproxy; hit; detail=stale-if-error"  # RFC 9211; every upstream failed, no purge was heard
+FORM = 256  # bytes that each takes beside its body
 VARY = "Accept, Accept-Encoding"
 UNSENT_MOST = 96 * 1024 * 1024  # bytes waiting for slow clients, all together
 WRITE = 60.0  # s for a client to take an answer
@@ -124,8 +125,9 @@
 
 
 class Repository:
-    def __init__(self, loop: Loop, most: int) -> None:
+    def __init__(self, loop: Loop, most: int, indexes: simple.Remembered | None = None) -> None:
         self.loop = loop
+        self._indexes = indexes or simple.Remembered()
         self.applied = Applied()  # teams' tokens and services' projects; read anew with the contracts
         self._classes = {c.name: n for n, c in enumerate(loop.state.settings.classes)}
         self.places = Places(most)
@@ -136,7 +138,7 @@
         self._slow: set[Seat] = set()  # connections with such bytes
         self._idle: dict[Seat, None] = {}  # connections with nothing asked, the longest idle first
         self._forms: LRUCache[tuple[str, ...], tuple[bytes, str]] = LRUCache(
-            FORMS_MOST, getsizeof=lambda made: len(made[0]) + 256
+            FORMS_MOST, getsizeof=lambda made: len(made[0]) + FORM
         )
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -270,13 +272,20 @@
         said = await self._ask(who, wanted, INDEX, path, began)
         if said.verdict is not Verdict.SERVED:
             return self._error(said, "")
-        index = simple.unpack_index(said.body, wanted.project)
+        small = len(said.body) < simple.LARGE
+        if small or self._indexes.get(said.tag) is not None:
+            index = simple.unpack_index(said.body, wanted.project, said.tag, self._indexes)
+        else:
+            index = await asyncio.to_thread(
+                simple.unpack_index, said.body, wanted.project, said.tag, self._indexes
+            )
         if not wanted.file:
-            return self._index(said, index, media or simple.PLAIN_HTML, coding, head)
+            media = media or simple.PLAIN_HTML
+            body, tag = await self._rendered(said, index, media, coding)
+            return self._index(said, media, coding, head, body, tag)
         return await self._file(who, wanted, index, head, began, path)
 
-    def _index(self, said: Answer, index: simple.Index, media: str, coding: str, head: Head) -> Response:
-        body, tag = self._rendered(said, index, media, coding)
+    def _index(self, said: Answer, media: str, coding: str, head: Head, body: bytes, tag: str) -> Response:
         # no-cache: a client's own copy must be asked about each time, or it could outlive a purge.
         fields = {"ETag": f'"{tag}"', "Cache-Control": "no-cache", "Vary": VARY, "Age": self._age(said)}
         if said.stale:
@@ -288,14 +297,18 @@
             fields["Content-Encoding"] = coding
         return Response(200, body, fields)
 
-    def _rendered(self, said: Answer, index: simple.Index, media: str, coding: str) -> tuple[bytes, str]:
+    async def _rendered(
+        self, said: Answer, index: simple.Index, media: str, coding: str
+    ) -> tuple[bytes, str]:
         """An index in one form and coding, and its tag; kept by the digest of what it was made from."""
         place = (said.tag, index.project, media, coding)
         made: tuple[bytes, str] | None = self._forms.get(place)
         if made is None:
-            body = codings.encode(simple.render(index, media), coding)
-            made = body, hashlib.sha256(body).hexdigest()
-            if len(body) <= FORMS_MOST:
+            if len(said.body) < simple.LARGE:
+                made = _form(index, media, coding)
+            else:
+                made = await asyncio.to_thread(_form, index, media, coding)
+            if len(made[0]) + FORM <= FORMS_MOST:
                 self._forms[place] = made
         return made
 
@@ -462,6 +475,11 @@
             slow.made.close()
 
 
+def _form(index: simple.Index, media: str, coding: str) -> tuple[bytes, str]:
+    body = codings.encode(simple.render(index, media), coding)
+    return body, hashlib.sha256(body).hexdigest()
+
+
 class _Reader:
     """Requests off one connection. At most one read runs; it outlives the request it was begun in."""
 
--- a/hallproxy/run/repository_main.py
+++ b/hallproxy/run/repository_main.py
@@ -63,7 +63,7 @@
     upstream = Upstream(config.file_most, (where for _, where in config.upstreams))
     loop.stores = HttpStores(loop, upstream)
     loop.bring(_members(config, loop.now()))
-    front = Repository(loop, CONNECTIONS)
+    front = Repository(loop, CONNECTIONS, upstream.indexes)
     contracts = Watch(config.contracts, loop, front) if config.contracts is not None else None
     if contracts is not None:
         contracts.look(first=True)
--- a/hallproxy/run/stores.py
+++ b/hallproxy/run/stores.py
@@ -15,6 +15,7 @@
 from hallproxy.state.events import Answered, LinkDown, LinkUp, Result
 from hallproxy.wire.http1 import Head, HttpError, chunk_size, response_head
 
+OFF_LOOP = 262_144  # bytes of a body from which it is read in a thread; the platform's are smaller
 CHUNKED = 1024 * 1024  # bytes that a body of untold length is taken to hold
 INTERIM_MOST = 8  # heads ahead of a final answer's, that one included
 FRAMING_MOST = 32_768  # bytes of a chunked body that are none of its own
@@ -121,7 +122,13 @@
             sent = self._orders.pop(link, None)
             if sent is None:
                 raise HttpError("an answer that nobody asked for")
-            result = self._speech.read(sent[0], head, body, sent[1])
+            if len(body) < OFF_LOOP:
+                result = self._speech.read(sent[0], head, body, sent[1])
+            else:
+                # Guards everybody else's answers: a large index takes seconds to read, a large file to hash.
+                result = await asyncio.to_thread(self._speech.read, sent[0], head, body, sent[1])
+                if link not in self._streams:
+                    return False
             # Bytes behind the answer belong to no request: such a connection is not used again.
             reusable = head.keeps and not buffer.filled and not made.closed()
             self._loop.bring(Answered(self._loop.now(), link, result, reusable))
--- a/hallproxy/wire/simple.py
+++ b/hallproxy/wire/simple.py
@@ -14,9 +14,11 @@
 import html
 import json
 import re
+import threading
+from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass
-from functools import lru_cache
+from functools import cached_property
 from html.parser import HTMLParser
 from typing import Any
 from urllib.parse import quote, unquote, urldefrag, urljoin, urlsplit
@@ -37,6 +39,10 @@
     "application/vnd.pypi.simple.latest+json": JSON,
     "application/vnd.pypi.simple.latest+html": HTML,
 }
+SLICE = 200  # entries of an index that are written in one call
+LARGE = 262_144  # bytes of an index from which reading it is cut into small steps
+_BLANK = re.compile(r"[ \t\r\n]*")
+_PLAIN = re.compile(r"(?:/[A-Za-z0-9_~+!-][A-Za-z0-9._~+!-]*)+")  # no dots to resolve, nothing to quote
 _TAG = re.compile(r'(?:W/)?"[!#-~]*"')
 _DIGEST = re.compile(r"[0-9a-f]{64}")
 _PROJECT = re.compile(r"[A-Za-z0-9](?:[A-Za-z0-9._-]{0,198}[A-Za-z0-9])?")
@@ -63,7 +69,7 @@
     provenance: str = ""  # URL
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(frozen=True)
 class Index:
     """A project's files, or with an empty project the repository's list of projects."""
 
@@ -77,8 +83,12 @@
     tracks: tuple[str, ...] = ()
     alternates: tuple[str, ...] = ()
 
+    @cached_property
+    def _by_name(self) -> dict[str, File]:
+        return {f.name: f for f in reversed(self.files)}
+
     def file(self, name: str) -> File | None:
-        return next((f for f in self.files if f.name == name), None)
+        return self._by_name.get(name)
 
 
 @dataclass(slots=True, frozen=True)
@@ -164,14 +174,72 @@
     project = normal(path.strip("/").split("/")[-1]) if path.strip("/") != "simple" else ""
     try:
         if media.split(";")[0].strip().lower() in (JSON, "application/json"):
-            return _from_json(json.loads(body), project, path, set(hosts))
+            return _from_json(_loads(body), project, path, set(hosts))
         return _from_html(body.decode("utf-8"), project, path, set(hosts))
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise BadIndex(f"an index that can't be read: {type(error).__name__} {error}") from None
 
 
+def _loads(body: bytes) -> Any:
+    """JSON, the elements of a large one's arrays one by one.
+
+    Guards against one long call that keeps all other threads waiting: 30 MB at once took a third of a second.
+    """
+    if len(body) < LARGE:
+        return json.loads(body)
+    text, decode = body.decode("utf-8"), json.JSONDecoder().raw_decode
+    top: dict[str, Any] = {}
+    try:
+        at = _after(text, 0, "{")
+        while text[at] != "}":
+            key, at = decode(text, at)
+            at = _after(text, _blank(text, at), ":")
+            if text[at] != "[":
+                top[key], at = decode(text, at)
+            else:
+                top[key] = found = []
+                at = _blank(text, at + 1)
+                while text[at] != "]":
+                    element, at = decode(text, at)
+                    found.append(element)
+                    at = _blank(text, at)
+                    if text[at] != "]":
+                        at = _element(text, at)
+                at += 1
+            at = _blank(text, at)
+            if text[at] != "}":
+                at = _element(text, at)
+        if _blank(text, at + 1) != len(text):
+            raise ValueError("something behind the object")
+    except (IndexError, StopIteration):
+        raise ValueError("an object that does not end") from None
+    return top
+
+
+def _blank(text: str, at: int) -> int:
+    found = _BLANK.match(text, at)
+    return found.end() if found else at
+
+
+def _after(text: str, at: int, mark: str) -> int:
+    at = _blank(text, at)
+    if text[at] != mark:
+        raise ValueError(f"no {mark!r} at {at}")
+    return _blank(text, at + 1)
+
+
+def _element(text: str, at: int) -> int:
+    """The start of the next element: one must follow a comma."""
+    at = _after(text, at, ",")
+    if text[at] in "]}":
+        raise ValueError(f"nothing behind the comma at {at}")
+    return at
+
+
 def _place(path: str, url: str, hosts: set[str]) -> str:
     """The path at the upstream repository that a link of its index leads to; empty: elsewhere."""
+    if _PLAIN.fullmatch(url):
+        return url  # most are whole paths already, and taking URLs apart costs most of reading an index
     full = urlsplit(urljoin(f"http://upstream{path}", url))
     if full.netloc != "upstream" and full.netloc not in hosts:
         return ""
@@ -292,10 +360,46 @@
     return render_json(index, lambda f: f.url, index.minor)
 
 
-@lru_cache(maxsize=64)
-def unpack_index(body: bytes, project: str) -> Index:
-    """A packed index. Remembered by its bytes, as each file of a project needs it anew."""
-    return read_index(body, JSON, f"/simple/{project}/" if project else "/simple/")
+class Remembered:
+    """Indexes by the digest of their packed text, as each file of a project needs its index anew.
+
+    Large ones are read in threads, so there is a lock.
+    """
+
+    def __init__(self, most: int = 250_000) -> None:
+        self._most, self._files = most, 0  # files of all those held
+        self._held: OrderedDict[str, Index] = OrderedDict()
+        self._lock = threading.Lock()
+
+    def put(self, tag: str, index: Index) -> None:
+        with self._lock:
+            if tag not in self._held:
+                self._put(tag, index)
+            self._held.move_to_end(tag)
+
+    def _put(self, tag: str, index: Index) -> None:
+        self._held[tag] = index
+        self._files += 1 + len(index.files) + len(index.projects)
+        while self._files > self._most and len(self._held) > 1:
+            _, old = self._held.popitem(last=False)
+            self._files -= 1 + len(old.files) + len(old.projects)
+
+    def get(self, tag: str) -> Index | None:
+        with self._lock:
+            index = self._held.get(tag)
+            if index is not None:
+                self._held.move_to_end(tag)
+            return index
+
+
+def unpack_index(body: bytes, project: str, tag: str = "", held: Remembered | None = None) -> Index:
+    """A packed index; taken from what is remembered where its tag is."""
+    index = held.get(tag) if held is not None and tag else None
+    if index is None:
+        index = read_index(body, JSON, f"/simple/{project}/" if project else "/simple/")
+        if held is not None and tag:
+            held.put(tag, index)
+    return index
 
 
 def _told_minor(index: Index) -> int:
@@ -322,8 +426,13 @@
             top["project-status"]["reason"] = index.status_reason
     if index.alternates:
         top["alternate-locations"] = list(index.alternates)
-    top["files"] = [_entry(f, place(f)) for f in index.files]
-    return json.dumps(top, separators=(",", ":")).encode()
+    # Piece by piece, for the same reason as in _loads.
+    start = json.dumps(top, separators=(",", ":"))[:-1]
+    pieces = []
+    for at in range(0, len(index.files), SLICE):
+        entries = [_entry(f, place(f)) for f in index.files[at : at + SLICE]]
+        pieces.append(json.dumps(entries, separators=(",", ":"))[1:-1])
+    return f'{start},"files":[{",".join(pieces)}]}}'.encode()
 
 
 def _entry(file: File, place: str) -> dict[str, Any]:
@@ -434,6 +543,7 @@
     pause = 2.0  # s; the way there may be long, and a lost packet alone costs some tenths
 
     def __init__(self, most: int, hosts: Iterable[str]) -> None:
+        self.indexes = Remembered()
         self.configure(most, hosts)
 
     def configure(self, most: int, hosts: Iterable[str]) -> None:
@@ -470,10 +580,12 @@
             return Result(i.Status.OK, body, order.held == order.digest, order.digest, born)
         try:
             media = head.fields.get("content-type", PLAIN_HTML)
-            packed = pack_index(read_index(body, media, order.name, self._hosts))
+            index = read_index(body, media, order.name, self._hosts)
         except BadIndex:
             return Result(i.Status.ERROR, reason=Reason.ERROR)
+        packed = pack_index(index)
         tag = hashlib.sha256(packed).hexdigest()
+        self.indexes.put(tag, index)
         validator = _validator(head.fields.get("etag", ""))
         return Result(i.Status.OK, packed, False, tag, born, validator=validator)
 
--- a/tests/test_conformance.py
+++ b/tests/test_conformance.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import gzip
 import hashlib
 import html
@@ -193,6 +194,39 @@
     index = simple.Index("p", tuple(simple.File(f"f-{n}.whl", "/x", "a" * 64) for n in range(2000)))
     for n in range(200):
         said = Answer(Verdict.SERVED, tag=str(n), born=1)
-        body, tag = made._rendered(said, index, simple.JSON, codings.IDENTITY)
-        assert made._rendered(said, index, simple.JSON, codings.IDENTITY)[0] is body and len(tag) == 64
+        body, tag = asyncio.run(made._rendered(said, index, simple.JSON, codings.IDENTITY))
+        again = asyncio.run(made._rendered(said, index, simple.JSON, codings.IDENTITY))
+        assert again[0] is body and len(tag) == 64
     assert made._forms.currsize <= FORMS_MOST
+
+
+def test_a_large_index_reads_as_a_small_one_does() -> None:
+    """Large ones are read element by element, so that nothing else waits for one long call."""
+    files = [dict(ENTRIES[0], filename=f"f-{n}.whl", url=f"/pool/f-{n}.whl") for n in range(900)]
+    body = json.dumps({**TOP, "files": files}, indent=1).encode()
+    assert len(body) > simple.LARGE
+    assert simple._loads(body) == json.loads(body)
+    index = simple.read_index(body, simple.JSON, f"/simple/{PROJECT}/")
+    assert len(index.files) == 900 and index.file("f-899.whl") == index.files[-1]
+    assert json.loads(simple.pack_index(index))["files"][0]["url"] == "/pool/f-0.whl"
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "{", "[]", '{"a": [1,]}', '{"a": 1,}', '{"a" 1}', '{"a": [1 2]}', '{"a": 1} x', '{"a": [1', "null"],
+)
+def test_a_large_text_that_is_no_object_is_an_error(text: str) -> None:
+    padded = text.encode() + b" " * simple.LARGE
+    with pytest.raises(ValueError):
+        simple._loads(padded)
+    with pytest.raises(simple.BadIndex):
+        simple.read_index(padded, simple.JSON, f"/simple/{PROJECT}/")
+
+
+def test_what_is_remembered_of_indexes_is_bounded() -> None:
+    held = simple.Remembered(most=1000)
+    for n in range(50):
+        held.put(str(n), simple.Index("p", tuple(simple.File(f"{m}", "/x", "a" * 64) for m in range(99))))
+    assert held.get("49") is not None and held.get("0") is None and len(held._held) == 10
+    held.put("large", simple.Index("p", tuple(simple.File(f"{m}", "/x", "a" * 64) for m in range(2000))))
+    assert len(held._held) == 1  # one that is larger than the bound is still held alone
