Kept indexes are answered without a task, a timer or a new date each

Cause: of an index answer's time from memory, a fifth went into watching for the client's leaving, the read ahead of its next request and writing the date, though the answer was there at once.

Change: the leaving is watched only while the core's answer is waited for; the date is written once a second; a project's object and the services' order are not worked out anew.

--- a/hallproxy/run/contracts.py
+++ b/hallproxy/run/contracts.py
@@ -50,7 +50,7 @@
 
     def service_of(self, project: str) -> str:
         """The first service, by name, one of whose patterns the project matches; empty: none."""
-        for name, patterns in sorted(self.services.items()):
+        for name, patterns in self.services.items():  # in order of names, see in_force
             if any(fnmatchcase(project, pattern) for pattern in patterns):
                 return name
         return ""
@@ -230,7 +230,7 @@
     return Applied(
         Contracts(held, teams, organisations),
         {name: team["token_sha256"] for name, team in document["teams"].items()},
-        {name: tuple(service["projects"]) for name, service in document["services"].items()},
+        {name: tuple(service["projects"]) for name, service in sorted(document["services"].items())},
     )
 
 
--- a/hallproxy/run/repository.py
+++ b/hallproxy/run/repository.py
@@ -14,10 +14,12 @@
 import hmac
 import json
 import socket
+import time
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from email.utils import formatdate
+from functools import lru_cache
 
 from cachetools import LRUCache
 from tornado.iostream import StreamClosedError
@@ -113,7 +115,7 @@
 class Seat:
     """One client's connection: whose it is, and the place that it holds until it ends."""
 
-    __slots__ = ("made", "address", "network", "team", "unsent", "held", "gone", "waits")
+    __slots__ = ("made", "address", "network", "team", "unsent", "held", "gone", "waits", "watch")
 
     def __init__(self, made: Stream, address: str, network: str) -> None:
         self.made, self.address, self.network = made, address, network
@@ -122,6 +124,7 @@
         self.held = True
         self.gone = False  # the client has left
         self.waits: asyncio.Future[Answer] | None = None  # the core's answer that is waited for
+        self.watch: Callable[[], None] = lambda: None  # look out for the client's leaving
 
 
 class Repository:
@@ -229,6 +232,7 @@
 
     async def _answer_or_leave(self, reader: _Reader, head: Head, seat: Seat) -> Response:
         """The answer; if the client leaves while it is made, what is out for it is given up too."""
+        watched: list[asyncio.Future[None]] = []
 
         def left(done: asyncio.Future[None]) -> None:
             # A request sent ahead just waits; a break is the client's leaving.
@@ -237,12 +241,18 @@
                 if seat.waits is not None and not seat.waits.done():
                     seat.waits.set_exception(StreamClosedError())
 
-        ahead = reader.ahead()
-        ahead.add_done_callback(left)
+        def watch() -> None:
+            # Only where the core's answer has to be waited for: most come from memory, at once.
+            if not watched:
+                watched.append(reader.ahead())
+                watched[0].add_done_callback(left)
+
+        seat.watch = watch
         try:
             return await self._answer(head, seat)
         finally:
-            ahead.remove_done_callback(left)
+            for ahead in watched:
+                ahead.remove_done_callback(left)
 
     async def _answer(self, head: Head, seat: Seat) -> Response:
         if head.method not in ("GET", "HEAD"):
@@ -399,6 +409,8 @@
         caller = self.loop.caller(lambda answer: None if future.done() else future.set_result(answer))
         self.loop.bring(Arrived(self.loop.now(), caller, asked))
         try:
+            if not future.done():
+                who.seat.watch()
             return await future
         finally:
             who.seat.waits = None
@@ -436,7 +448,7 @@
     async def _write(self, seat: Seat, response: Response, head_only: bool, keeps: bool) -> None:
         lines = [f"HTTP/1.1 {response.status} {PHRASES[response.status]}"]
         lines += [f"{name}: {value}" for name, value in response.fields.items()]
-        lines.append(f"Date: {formatdate(usegmt=True)}")
+        lines.append(f"Date: {_date(int(time.time()))}")
         if response.status != 304:
             lines.append(f"Content-Length: {len(response.body)}")
         if not keeps:
@@ -475,6 +487,12 @@
             slow.made.close()
 
 
+@lru_cache(maxsize=2)
+def _date(second: int) -> str:
+    """The Date field: written once for each second."""
+    return formatdate(second, usegmt=True)
+
+
 def _form(index: simple.Index, media: str, coding: str) -> tuple[bytes, str]:
     body = codings.encode(simple.render(index, media), coding)
     return body, hashlib.sha256(body).hexdigest()
--- a/hallproxy/wire/simple.py
+++ b/hallproxy/wire/simple.py
@@ -18,7 +18,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass
-from functools import cached_property
+from functools import cached_property, lru_cache
 from html.parser import HTMLParser
 from typing import Any
 from urllib.parse import quote, unquote, urldefrag, urljoin, urlsplit
@@ -107,6 +107,7 @@
     return re.sub(r"[-_.]+", "-", project).lower()
 
 
+@lru_cache(maxsize=4096)
 def object_id(project: str) -> int:
     """The object that purges name: the first eight bytes of the normal name's digest."""
     return int.from_bytes(hashlib.sha256(normal(project).encode()).digest()[:8], "big") or 1
