--- a/hallproxy/run/main.py
+++ b/hallproxy/run/main.py
@@ -18,7 +18,7 @@
 
 from hallproxy.interface import SettingsError
 from hallproxy.logic import Router, check
-from hallproxy.run import contracts, platform_teams, usage
+from hallproxy.run import contracts, platform_teams
 from hallproxy.run.changelog import Poller
 from hallproxy.run.clients import Clients
 from hallproxy.run.config import Config, ConfigError, load
@@ -178,6 +178,8 @@
 
 
 def _usage(args: argparse.Namespace) -> None:
+    from hallproxy.run import usage  # an HTTP client that no gateway needs
+
     shown = usage.fetch(args.at, args.team, args.token_file.read_text("utf-8").strip())
     print(json.dumps(shown, indent=1) if args.json else "\n".join(usage.lines(shown)))
 
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -3,15 +3,29 @@
 from __future__ import annotations
 
 import re
-from pathlib import Path
+import subprocess
+import sys
 
 import pytest
 
+from tests.gateway import ROOT
+
 
 def test_the_example_decides(capsys: pytest.CaptureFixture[str]) -> None:
-    text = (Path(__file__).parents[1] / "README.md").read_text()
+    text = (ROOT / "README.md").read_text()
     code = re.search(r"```python\n(.*?)```", text, re.S)
     assert code is not None
     exec(compile(code.group(1), "README.md", "exec"), {})
     said = capsys.readouterr().out
     assert re.fullmatch(r"b'cache-[ab]' fills from b'parent' and keeps at rank [0-3]\n", said)
+
+
+def test_what_run_and_sim_start_needs_no_library_but_its_own() -> None:
+    """`build` installs requirements.txt alone; what the other front needs must not cost the platform."""
+    blocked = "pytricia hdrh sortedcontainers cachetools matplotlib"
+    text = (
+        f"import sys\nfor name in {blocked!r}.split(): sys.modules[name] = None\n"
+        "import hallproxy.run.main, hallproxy.adapter\nfrom hallproxy.state.model import State\n"
+    )
+    ran = subprocess.run([sys.executable, "-c", text], cwd=ROOT, capture_output=True, text=True)
+    assert ran.returncode == 0, ran.stderr
