One reader of TOML files and one of q-values, where three and two stood

Cause: the teams file and the codings brought copies of what the deploy file, contracts and Accept already had.

Change: run.config.read_toml raises the caller's error in one plain line; simple.choose takes its weights from wire.codings.

--- a/hallproxy/run/config.py
+++ b/hallproxy/run/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -18,6 +19,16 @@
     """The gateway can't start with this; the text is one plain line."""
 
 
+def read_toml(path: Path, error: type[ValueError] = ConfigError) -> dict[str, Any]:
+    """The operators' own file form. What can't be read is the caller's error, in one plain line."""
+    try:
+        return tomllib.loads(path.read_text("utf-8"))
+    except OSError as failed:
+        raise error(f"{path} can't be read: {failed.strerror}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as failed:
+        raise error(f"{path} is not TOML: {failed}") from None
+
+
 Address = tuple[str, int]
 
 
--- a/hallproxy/run/contracts.py
+++ b/hallproxy/run/contracts.py
@@ -11,7 +11,6 @@
 import json
 import os
 import re
-import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from fnmatch import fnmatchcase
@@ -21,6 +20,7 @@
 from hallproxy.broker.contracts import Contract, Contracts, Organisation, Team
 from hallproxy.broker.networks import NetworkError, normal
 from hallproxy.broker.rates import Rate
+from hallproxy.run.config import read_toml
 
 FORMAT = 1
 MS = 1_000_000
@@ -66,12 +66,7 @@
 
 def read_file(path: Path) -> Document:
     """A contracts file, checked and brought into the one form that plans compare."""
-    try:
-        top = tomllib.loads(path.read_text("utf-8"))
-    except OSError as error:
-        raise ContractError(f"{path} can't be read: {error.strerror}") from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise ContractError(f"{path} is not TOML: {error}") from None
+    top = read_toml(path, ContractError)
     try:
         return check(top)
     except ContractError as error:
--- a/hallproxy/run/platform_teams.py
+++ b/hallproxy/run/platform_teams.py
@@ -6,14 +6,13 @@
 
 from __future__ import annotations
 
-import tomllib
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
 from hallproxy.broker.contracts import Contracts
-from hallproxy.run.config import ConfigError
+from hallproxy.run.config import ConfigError, read_toml
 from hallproxy.run.contracts import ContractError, check, in_force
 from hallproxy.state.events import Asked
 
@@ -35,12 +34,7 @@
 
 def load(path: Path, classes: Sequence[str]) -> PlatformTeams:
     """Read and check the file whole; ConfigError, one plain line, where it can't be used."""
-    try:
-        top = tomllib.loads(path.read_text("utf-8"))
-    except OSError as error:
-        raise ConfigError(f"{path} can't be read: {error.strerror}") from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise ConfigError(f"{path} is not TOML: {error}") from None
+    top = read_toml(path)
     try:
         assigned = top.pop("assign", None)
         for team in top.get("teams", {}).values():
--- a/hallproxy/run/repository_config.py
+++ b/hallproxy/run/repository_config.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import json
-import tomllib
 from dataclasses import dataclass
 from pathlib import Path
 
 from hallproxy import interface as i
-from hallproxy.run.config import Address, ConfigError, address
+from hallproxy.run.config import Address, ConfigError, address, read_toml
 from hallproxy.wire.bench import settings_from_json
 
 INDEX, PACKAGE = "index", "package"  # the classes that its settings must name
@@ -29,12 +28,7 @@
 
 
 def load(path: Path) -> RepositoryConfig:
-    try:
-        top = tomllib.loads(path.read_text("utf-8"))
-    except OSError as error:
-        raise ConfigError(f"{path} can't be read: {error.strerror}") from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise ConfigError(f"{path} is not TOML: {error}") from None
+    top = read_toml(path)
     try:
         for key in top:
             if key not in KEYS:
--- a/hallproxy/wire/simple.py
+++ b/hallproxy/wire/simple.py
@@ -26,6 +26,7 @@
 from hallproxy import interface as i
 from hallproxy.state.effects import Order
 from hallproxy.state.events import Reason, Result
+from hallproxy.wire import codings
 from hallproxy.wire.http1 import Head
 
 SECOND = 1_000_000_000
@@ -506,16 +507,8 @@
         return PLAIN_HTML
     best: tuple[float, int] = (0.0, 0)
     chosen = None
-    for part in accept.split(","):
-        media, *params = (p.strip().lower() for p in part.split(";"))
+    for media, weight in codings.weights(accept).items():
         media = _ALIASES.get(media, media)
-        weight = 1.0
-        for param in params:
-            if param.startswith("q="):
-                try:
-                    weight = float(param[2:])
-                except ValueError:
-                    weight = 0.0
         known = {JSON: (JSON, 3), HTML: (HTML, 2), PLAIN_HTML: (PLAIN_HTML, 2)}
         known |= {"text/*": (PLAIN_HTML, 1), "*/*": (PLAIN_HTML, 1), "application/*": (JSON, 1)}
         if media in known and weight > 0 and (weight, known[media][1]) > best:
