Retry budgets with a floor are forgotten; one reckoning of a wait, dead methods out

The wait for a place was reckoned in two places alike, a request's kind twice in one call, and two methods had no caller.

Nothing else behaves otherwise.

--- a/hallproxy/broker/broker.py
+++ b/hallproxy/broker/broker.py
@@ -24,9 +24,7 @@
 PATIENCE = 0.4  # part of the aim that a request may wait for its place
 COST_FIRST = 30 * MS  # ns that a place is taken to be held until any has been
 COST_SMOOTH = 0.05
-SPREAD = (
-    0.25  # part by which come-back times are spread, so that who was turned away together comes back apart
-)
+SPREAD = 0.25  # part by which come-back times differ, so that who was turned away together comes apart
 SWEEP_EVERY = 10 * SECOND  # ns between looks for what can be forgotten
 RETRY_TEAMS_MOST = 16_384
 KIND_FINEST_KB = 4.0  # sizes under it are of one kind
@@ -168,21 +166,21 @@
     def seek(self, ident: int, ask: Ask, contract: Contract, now: int) -> Turn | Refusal:
         """A place: at once, after a wait that the request can afford, or a no with when to come back."""
         organisation = self.contracts.organisation_of(contract.team)
+        kind = self._kind(ask)
+        cost = self._usual(kind)
         if not self.budgets.enter(contract, now):
-            return self._no(contract.team, Why.OPEN, self._usual(self._kind(ask)), now)
+            return self._no(contract.team, Why.OPEN, cost, now)
         leaf = self.shares.leaf(self._path(contract), now)
-        kind = self._kind(ask)
         one = _Open(contract, organisation.name if organisation else "", leaf, kind, now, ask.aim)
         self._look(now)
         self.shares.see(leaf, now)
-        cost = self._usual(kind)
         if self.shares.ask(leaf, ident, cost, now):
             self._open[ident] = one
             return Turn.NOW
-        wait = int((leaf.waiting + 1) * cost / max(1.0, self.shares.part(leaf)))
-        if wait > self.patience(ask, cost) or not self.shares.join(leaf, ident, cost):
+        too_long = self._wait(leaf, cost) > self.patience(ask, cost)
+        if too_long or not self.shares.join(leaf, ident, cost):
             self.budgets.leave(contract.key, one.organisation)
-            return self._no(contract.team, Why.CROWDED, max(wait, 2 * cost), now)
+            return self._crowded(one, now)
         one.queued = True
         self._open[ident] = one
         return Turn.WAITS
@@ -227,20 +225,20 @@
 
     def crowded(self, ident: int, now: int) -> Refusal:
         """A request has waited for as long as it can: it is told when a place is likely."""
-        one = self._open[ident]
+        return self._crowded(self._open[ident], now)
+
+    def _crowded(self, one: _Open, now: int) -> Refusal:
         cost = self._usual(one.kind)
-        wait = int((one.leaf.waiting + 1) * cost / max(1.0, self.shares.part(one.leaf)))
-        return self._no(one.contract.team, Why.CROWDED, max(wait, 2 * cost), now)
+        return self._no(one.contract.team, Why.CROWDED, max(self._wait(one.leaf, cost), 2 * cost), now)
+
+    def _wait(self, leaf: Node, cost: int) -> int:
+        """How long (ns) until a request that comes to the leaf now is likely to have its place."""
+        return int((leaf.waiting + 1) * cost / max(1.0, self.shares.part(leaf)))
 
     def waits(self, ident: int) -> bool:
         one = self._open.get(ident)
         return one is not None and one.queued
 
-    def contract_of(self, ident: int) -> Contract | None:
-        """The contract that it came in under, whatever holds by now."""
-        one = self._open.get(ident)
-        return one.contract if one else None
-
     def may_try_again(self, ident: int, now: int) -> bool:
         """Whether the team's budget has a further attempt for this request."""
         one = self._open.get(ident)
@@ -303,7 +301,7 @@
         self.budgets.forget(now)
         self.capacity.forget(now)
         self.shares.forget(now)
-        for team in [t for t, budget in self.retries.items() if not budget.left(now) and budget.quiet]:
+        for team in [t for t, budget in self.retries.items() if budget.quiet(now)]:
             del self.retries[team]
 
     def shown(self, now: int, team: str = "") -> dict[str, object]:
--- a/hallproxy/broker/places.py
+++ b/hallproxy/broker/places.py
@@ -111,10 +111,6 @@
             network.held -= 1
             self.held -= 1
 
-    def crowded(self) -> bool:
-        """Whether connections are short, so that those that say nothing had better go."""
-        return self.held >= self.most - self.most // KEPT_BACK
-
     def over(self, name: str) -> bool:
         """Whether the network holds more connections than its share."""
         network = self._networks.get(name)
--- a/hallproxy/broker/retries.py
+++ b/hallproxy/broker/retries.py
@@ -58,6 +58,7 @@
         oldest = next((n for n in range(1, SLOTS + 1) if self._again[(self._slot + n) % SLOTS]), 1)
         return max(SECOND // 5, (self._slot + oldest) * SECOND - now)
 
-    @property
-    def quiet(self) -> bool:
+    def quiet(self, now: int) -> bool:
+        """Whether a new budget would be just the same, so that this one may be forgotten."""
+        self._turn(now)
         return not self._sums[0] and not self._sums[1]
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -160,6 +162,16 @@
     assert budget.wait(START + 10 * SECOND) <= 10 * SECOND
 
 
+def test_retry_budgets_of_teams_that_ask_no_more_are_forgotten() -> None:
+    """Also those with a floor: what is left of such a budget never falls to nothing."""
+    broker = Broker(Contracts((Contract("a", "s", retry_share=0.1, retry_floor=2.0),)), START)
+    ask = Ask("a", "s", "c", 2 * SECOND, 500 * MS)
+    broker.admit(ask, START)
+    assert list(broker.retries) == ["a"]
+    broker.admit(replace(ask, team="b"), START + 60 * SECOND)
+    assert not broker.retries
+
+
 # Keys ----------------------------------------------------------------------------------------------------
 
 
