Second front: routes of projects to ordered tiers of upstreams, pins, no confused names

Need: every upstream was a mirror of every other, so a private project's name could be answered by a public upstream (the dependency-confusion attack) whenever the module chose it, and nothing could pin a project to its own repository. Change: hallproxy/routes decides, without I/O, which tiers of upstreams serve a project (pins first, then the pattern with most fixed characters, then file order) and whether to go on: only after a plain "not there" of a whole tier. Each tier's index and absence is a part of its own; files come from the tier whose index named them. [[route]] in the deploy file, checked.

--- a/hallproxy/interface.py
+++ b/hallproxy/interface.py
@@ -209,6 +209,7 @@
     tenant: int = 0
     repeat: bool = False
     write: bool = False
+    among: frozenset[ServerId] = frozenset()  # the stores that may answer it; empty: any
 
 
 @dataclass(slots=True, frozen=True)
--- a/hallproxy/logic.py
+++ b/hallproxy/logic.py
@@ -384,8 +384,8 @@
 
     def _pick_cache(self, entry: Open) -> Peer | None:
         """The first usable cache in the object's own hash order, weighted by size and warmth."""
-        order = []
-        for peer in self.caches:
+        order, among = [], entry.request.among
+        for peer in (p for p in self.caches if not among or p.member.server in among):
             share = self._share(peer)
             weight = peer.member.weight * (share if share < 1.0 else self._pace(peer))
             u = (mix(peer.seed ^ entry.hash) + 1) / (M64 + 2)
--- a/hallproxy/run/repository.py
+++ b/hallproxy/run/repository.py
@@ -26,6 +26,7 @@
 
 from hallproxy.broker.networks import neighbourhood
 from hallproxy.broker.places import Places
+from hallproxy.routes import Route, Routes, Tier
 from hallproxy.run.contracts import Applied
 from hallproxy.run.loop import Loop, say
 from hallproxy.run.repository_config import INDEX, PACKAGE
@@ -128,8 +129,11 @@
 
 
 class Repository:
-    def __init__(self, loop: Loop, most: int, indexes: simple.Remembered | None = None) -> None:
+    def __init__(
+        self, loop: Loop, most: int, indexes: simple.Remembered | None = None, routes: Routes | None = None
+    ) -> None:
         self.loop = loop
+        self.routes = routes or Routes((), ())  # read anew with the deploy file
         self._indexes = indexes or simple.Remembered()
         self.applied = Applied()  # teams' tokens and services' projects; read anew with the contracts
         self._classes = {c.name: n for n, c in enumerate(loop.state.settings.classes)}
@@ -279,7 +283,8 @@
             coding = codings.IDENTITY  # a file has no other form: refusing it would help nobody
         began = self.loop.now()
         path = f"/simple/{wanted.project}/" if wanted.project else "/simple/"
-        said = await self._ask(who, wanted, INDEX, path, began)
+        route = self.routes.route(simple.normal(wanted.project) if wanted.project else "")
+        said, tier = await self._walk(who, wanted, route, path, began)
         if said.verdict is not Verdict.SERVED:
             return self._error(said, "")
         small = len(said.body) < simple.LARGE
@@ -293,7 +298,21 @@
             media = media or simple.PLAIN_HTML
             body, tag = await self._rendered(said, index, media, coding)
             return self._index(said, media, coding, head, body, tag)
-        return await self._file(who, wanted, index, head, began, path)
+        return await self._file(who, wanted, index, head, began, path, tier)
+
+    async def _walk(
+        self, who: Who, wanted: simple.Wanted, route: Route, path: str, began: int
+    ) -> tuple[Answer, Tier]:
+        """The index from the first tier of the route that does not plainly lack it; the tier it came from."""
+        place = 0
+        while True:
+            tier = route.tiers[place]
+            said = await self._ask(who, wanted, INDEX, path, began, tier=tier)
+            absent = said.reason is Reason.ABSENT
+            went_on = None if said.verdict is Verdict.SERVED else route.after(place, absent)
+            if went_on is None:
+                return said, tier
+            place = went_on
 
     def _index(self, said: Answer, media: str, coding: str, head: Head, body: bytes, tag: str) -> Response:
         # no-cache: a client's own copy must be asked about each time, or it could outlive a purge.
@@ -323,7 +342,14 @@
         return made
 
     async def _file(
-        self, who: Who, wanted: simple.Wanted, index: simple.Index, head: Head, began: int, path: str
+        self,
+        who: Who,
+        wanted: simple.Wanted,
+        index: simple.Index,
+        head: Head,
+        began: int,
+        path: str,
+        tier: Tier,
     ) -> Response:
         file = index.file(wanted.file)
         link = f'<{path}>; rel="index"'
@@ -337,7 +363,7 @@
         url = simple.metadata_url(file.url) if wanted.metadata else file.url
         tag = digest if simple.same(digest, head.fields.get("if-none-match", "")) else ""
         size = 0 if wanted.metadata else file.size or 0
-        said = await self._ask(who, wanted, PACKAGE, url, began, tag, size / 1000, digest)
+        said = await self._ask(who, wanted, PACKAGE, url, began, tag, size / 1000, digest, tier)
         if said.verdict is not Verdict.SERVED:
             if said.reason in (Reason.ABSENT, Reason.REPLACED):
                 return plain(410, f"{BACK}{path} ({WORDS[said.reason]})", Link=link)
@@ -379,13 +405,22 @@
         held: str = "",
         size_kb: float = 0.0,
         digest: str = "",
+        tier: Tier | None = None,
     ) -> Answer:
-        """One request of the core. The deadline is that of the client's request, however many it takes."""
+        """One request of the core. The deadline is that of the client's request, however many it takes.
+
+        ``tier``: the upstreams that may answer it. Each tier's index is a part of its own, so that one tier's
+        copy or "not there" never stands for another's; a file is one part by its bytes, wherever it is from.
+        """
         place = self._classes[cls]
         deadline = self.loop.state.settings.classes[place].deadline
         obj = simple.object_id(wanted.project)
         # A part is one file by its bytes: another digest under the same name is another part.
         part = int(hashlib.sha256(f"{wanted.file}={digest}".encode()).hexdigest()[:12], 16) if digest else 0
+        among: frozenset[bytes] = frozenset()
+        if tier is not None and tier.part:
+            among = frozenset(u.encode() for u in tier.upstreams)
+            part = part or tier.part
         asked = Asked(
             label="",
             cls=place,
@@ -401,6 +436,7 @@
             repeat=who.repeat,
             service=self.applied.service_of(wanted.project),
             digest=digest,
+            among=among,
         )
         if who.seat.gone:
             raise StreamClosedError()
--- a/hallproxy/run/repository_config.py
+++ b/hallproxy/run/repository_config.py
@@ -7,11 +7,13 @@
 from pathlib import Path
 
 from hallproxy import interface as i
+from hallproxy.routes import RouteError, Routes, Rule
 from hallproxy.run.config import Address, ConfigError, address, read_toml
+from hallproxy.wire import simple
 from hallproxy.wire.bench import settings_from_json
 
 INDEX, PACKAGE = "index", "package"  # the classes that its settings must name
-KEYS = ("listen", "changelog", "contracts", "file_most_mb", "copies_mb", "absent_ms", "upstream",
+KEYS = ("listen", "changelog", "contracts", "file_most_mb", "copies_mb", "absent_ms", "upstream", "route",
         "settings")  # fmt: skip
 
 
@@ -25,6 +27,7 @@
     absent: int  # ns for which an answer "not there" holds
     upstreams: tuple[tuple[str, str], ...]  # id, address
     settings: i.Settings
+    routes: Routes
 
 
 def load(path: Path) -> RepositoryConfig:
@@ -52,15 +55,27 @@
             absent=_milliseconds(top, "absent_ms", 1000, 60_000),
             upstreams=upstreams,
             settings=settings,
+            routes=Routes(tuple(_rule(r) for r in top.get("route", [])), tuple(u for u, _ in upstreams)),
         )
     except KeyError as error:
         raise ConfigError(f"{path}: {error} is missing") from None
-    except (ConfigError, i.SettingsError) as error:
+    except (ConfigError, i.SettingsError, RouteError) as error:
         raise ConfigError(f"{path}: {error}") from None
     except (TypeError, ValueError, AttributeError) as error:
         raise ConfigError(f"{path}: {error}") from None
 
 
+def _rule(table: dict[str, object]) -> Rule:
+    """``projects``: patterns of names, made normal; ``upstreams``: tiers in order, an id or mirrors."""
+    if set(table) - {"projects", "upstreams"}:
+        raise ConfigError(f"a route knows only projects and upstreams, not {sorted(set(table))}")
+    projects, tiers = table["projects"], table["upstreams"]
+    if not isinstance(projects, list) or not isinstance(tiers, list):
+        raise ConfigError("a route's projects and upstreams are lists")
+    made = tuple((t,) if isinstance(t, str) else tuple(str(u) for u in t) for t in tiers)
+    return Rule(tuple(simple.normal(str(p)) if p else "" for p in projects), made)
+
+
 def _milliseconds(top: dict[str, object], key: str, default: int, most: int) -> int:
     value = top.get(key, default)
     if type(value) is not int or not 0 <= value <= most:
--- a/hallproxy/run/repository_main.py
+++ b/hallproxy/run/repository_main.py
@@ -63,7 +63,7 @@
     upstream = Upstream(config.file_most, (where for _, where in config.upstreams))
     loop.stores = HttpStores(loop, upstream)
     loop.bring(_members(config, loop.now()))
-    front = Repository(loop, CONNECTIONS, upstream.indexes)
+    front = Repository(loop, CONNECTIONS, upstream.indexes, config.routes)
     contracts = Watch(config.contracts, loop, front) if config.contracts is not None else None
     if contracts is not None:
         contracts.look(first=True)
@@ -98,6 +98,7 @@
         upstream.configure(new.file_most, (where for _, where in new.upstreams))
         loop.bring(Reconfigured(loop.now(), new.settings, bounds(new)))
         loop.bring(_members(new, loop.now()))
+        front.routes = new.routes
         if poller is not None and new.changelog is not None:
             poller.move(new.changelog, {"results": []})
 
--- a/hallproxy/state/calls.py
+++ b/hallproxy/state/calls.py
@@ -91,6 +91,7 @@
             asked.size_kb,
             repeat=asked.repeat,
             write=asked.write,
+            among=asked.among,
         )
     )
 
--- a/hallproxy/state/events.py
+++ b/hallproxy/state/events.py
@@ -71,6 +71,7 @@
     service: str = ""
     address: str = ""  # where it came from; empty: not told
     digest: str = ""  # what the bytes must hash to; empty: any will do
+    among: frozenset[bytes] = frozenset()  # the stores that may answer it; empty: any
 
 
 @dataclass(slots=True, frozen=True)
