Second front: upstreams under a path prefix and behind credentials from the environment

Need: real private repositories sit under a path (/pypi/simple/) and want a token; the front could only ask /simple/ of an address, with nobody's name. Change: [[upstream]] takes prefix and credentials (the name of an environment variable; user:password as Basic, else Bearer). Indexes are asked under the prefix and their relative links read against it; files by the path their index named. The secret goes to that upstream's address alone, is hidden in repr and never logged or passed on. The stores' reader now tells the speech which host answered.

--- a/hallproxy/run/repository_config.py
+++ b/hallproxy/run/repository_config.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import base64
 import json
+import os
+import re
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -28,6 +31,7 @@
     upstreams: tuple[tuple[str, str], ...]  # id, address
     settings: i.Settings
     routes: Routes
+    ways: dict[str, simple.Way]  # by address: the prefix of an upstream's paths, and its credentials
 
 
 def load(path: Path) -> RepositoryConfig:
@@ -41,6 +45,7 @@
             if name not in {c.name for c in settings.classes}:
                 raise ConfigError(f"settings name no class {name}")
         upstreams = tuple((str(u["id"]), str(u["address"])) for u in top["upstream"])
+        ways = {str(u["address"]): _way(u) for u in top["upstream"]}
         for _, where in upstreams:
             address(where)
         if not upstreams or len({ident for ident, _ in upstreams}) < len(upstreams):
@@ -56,6 +61,7 @@
             upstreams=upstreams,
             settings=settings,
             routes=Routes(tuple(_rule(r) for r in top.get("route", [])), tuple(u for u, _ in upstreams)),
+            ways=ways,
         )
     except KeyError as error:
         raise ConfigError(f"{path}: {error} is missing") from None
@@ -65,6 +71,33 @@
         raise ConfigError(f"{path}: {error}") from None
 
 
+UPSTREAM_KEYS = {"id", "address", "prefix", "credentials"}
+PREFIX = re.compile(r"(/[A-Za-z0-9._~!$&'()*+,;=:@%-]+)*")
+
+
+def _way(table: dict[str, object]) -> simple.Way:
+    """``prefix``: where the upstream's paths begin; ``credentials``: the name of an environment variable.
+
+    Its value ``user:password`` is sent as Basic, any other as a Bearer token. The file names only the
+    variable, so that no secret is written beside the settings; one that is not set is an error at start.
+    """
+    if unknown := set(table) - UPSTREAM_KEYS:
+        raise ConfigError(f"an upstream knows no {sorted(unknown)[0]!r}")
+    prefix = str(table.get("prefix", "")).rstrip("/")
+    if not PREFIX.fullmatch(prefix):
+        raise ConfigError(f"upstream {table.get('id')!r}: prefix {prefix!r} is no path")
+    authorization = ""
+    if name := str(table.get("credentials", "")):
+        secret = os.environ.get(name, "")
+        if not secret or any(c in secret for c in "\r\n"):
+            raise ConfigError(f"upstream {table.get('id')!r}: {name} is unset or not one line")
+        if ":" in secret:
+            authorization = "Basic " + base64.b64encode(secret.encode()).decode()
+        else:
+            authorization = f"Bearer {secret}"
+    return simple.Way(prefix, authorization)
+
+
 def _rule(table: dict[str, object]) -> Rule:
     """``projects``: patterns of names, made normal; ``upstreams``: tiers in order, an id or mirrors."""
     if set(table) - {"projects", "upstreams"}:
--- a/hallproxy/run/repository_main.py
+++ b/hallproxy/run/repository_main.py
@@ -60,7 +60,7 @@
 
 async def serve(path: Path, config: RepositoryConfig, signals: Signals) -> None:
     loop = Loop(new_state(config))
-    upstream = Upstream(config.file_most, (where for _, where in config.upstreams))
+    upstream = Upstream(config.file_most, (where for _, where in config.upstreams), config.ways)
     loop.stores = HttpStores(loop, upstream)
     loop.bring(_members(config, loop.now()))
     front = Repository(loop, CONNECTIONS, upstream.indexes, config.routes)
@@ -95,7 +95,7 @@
         if (new.changelog is None) != (poller is None):
             raise ConfigError("a change log where there was none, or none any more, needs a restart")
         check(new.settings)
-        upstream.configure(new.file_most, (where for _, where in new.upstreams))
+        upstream.configure(new.file_most, (where for _, where in new.upstreams), new.ways)
         loop.bring(Reconfigured(loop.now(), new.settings, bounds(new)))
         loop.bring(_members(new, loop.now()))
         front.routes = new.routes
--- a/hallproxy/run/stores.py
+++ b/hallproxy/run/stores.py
@@ -31,7 +31,7 @@
 
     def head(self, order: Order, host: str) -> bytes: ...
 
-    def read(self, order: Order, head: Head, body: bytes, sent_at: int) -> Result: ...
+    def read(self, order: Order, head: Head, body: bytes, sent_at: int, host: str) -> Result: ...
 
 
 class HttpStores:
@@ -89,7 +89,7 @@
             self._loop.bring(LinkUp(self._loop.now(), link))
             buffer = Buffer()
             while link in self._streams:
-                if not await self._one(link, made, buffer):
+                if not await self._one(link, made, buffer, host):
                     return
         except TimeoutError:
             # Guards against answers that begin, stop and stay open: each would take its request's whole time.
@@ -104,7 +104,7 @@
                 self._loop.bring(LinkDown(self._loop.now(), link))
                 self.close(link)
 
-    async def _one(self, link: int, made: Stream, buffer: Buffer) -> bool:
+    async def _one(self, link: int, made: Stream, buffer: Buffer, host: str) -> bool:
         """Bring one answer; false: nobody waits for it any more."""
         if not buffer.filled:
             await buffer.fill(made, 2048)
@@ -123,10 +123,10 @@
             if sent is None:
                 raise HttpError("an answer that nobody asked for")
             if len(body) < OFF_LOOP:
-                result = self._speech.read(sent[0], head, body, sent[1])
+                result = self._speech.read(sent[0], head, body, sent[1], host)
             else:
                 # Guards everybody else's answers: a large index takes seconds to read, a large file to hash.
-                result = await asyncio.to_thread(self._speech.read, sent[0], head, body, sent[1])
+                result = await asyncio.to_thread(self._speech.read, sent[0], head, body, sent[1], host)
                 if link not in self._streams:
                     return False
             # Bytes behind the answer belong to no request: such a connection is not used again.
--- a/hallproxy/wire/simple.py
+++ b/hallproxy/wire/simple.py
@@ -16,7 +16,7 @@
 import re
 import threading
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from functools import cached_property, lru_cache
 from html.parser import HTMLParser
@@ -171,13 +171,17 @@
             self.links[-1][1].append(data)
 
 
-def read_index(body: bytes, media: str, path: str, hosts: Iterable[str] = ()) -> Index:
-    """An upstream index in either form. Files without a SHA-256 can't be vouched for and are left out."""
+def read_index(body: bytes, media: str, path: str, hosts: Iterable[str] = (), prefix: str = "") -> Index:
+    """An upstream index in either form. Files without a SHA-256 can't be vouched for and are left out.
+
+    ``path`` is the index's own (``/simple/NAME/``); ``prefix`` what the upstream's paths begin with, against
+    which relative links are read.
+    """
     project = normal(path.strip("/").split("/")[-1]) if path.strip("/") != "simple" else ""
     try:
         if media.split(";")[0].strip().lower() in (JSON, "application/json"):
-            return _from_json(_loads(body), project, path, set(hosts))
-        return _from_html(body.decode("utf-8"), project, path, set(hosts))
+            return _from_json(_loads(body), project, prefix + path, set(hosts))
+        return _from_html(body.decode("utf-8"), project, prefix + path, set(hosts))
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise BadIndex(f"an index that can't be read: {type(error).__name__} {error}") from None
 
@@ -531,21 +535,43 @@
 # What goes upstream --------------------------------------------------------------------------------------
 
 
+@dataclass(slots=True, frozen=True)
+class Way:
+    """How one upstream is spoken to: ``prefix`` of its paths ("" or "/a/b"); ``authorization``, the field's
+    whole value ("" for none). It is sent to that upstream's address alone, and never logged or passed on."""
+
+    prefix: str = ""
+    authorization: str = ""
+
+    def __repr__(self) -> str:
+        return f"Way(prefix={self.prefix!r}, authorization={'…' if self.authorization else ''!r})"
+
+
+NO_WAY = Way()
+
+
 class Upstream:
     """The wire to an upstream repository, for the effect runner."""
 
     pause = 2.0  # s; the way there may be long, and a lost packet alone costs some tenths
 
-    def __init__(self, most: int, hosts: Iterable[str]) -> None:
+    def __init__(self, most: int, hosts: Iterable[str], ways: Mapping[str, Way] | None = None) -> None:
         self.indexes = Remembered()
-        self.configure(most, hosts)
+        self.configure(most, hosts, ways)
 
-    def configure(self, most: int, hosts: Iterable[str]) -> None:
+    def configure(self, most: int, hosts: Iterable[str], ways: Mapping[str, Way] | None = None) -> None:
+        """``ways``: by address, the prefix of an upstream's paths and what it is told of who asks."""
         self.most = most
         self._hosts = tuple(hosts)
+        self._ways = dict(ways or {})
 
     def head(self, order: Order, host: str) -> bytes:
-        lines = [f"GET {order.name} HTTP/1.1", f"Host: {host}", "User-Agent: hallproxy"]
+        way = self._ways.get(host, NO_WAY)
+        # Indexes are asked by their own path under the prefix; a file by the path its index named.
+        name = order.name if order.digest else way.prefix + order.name
+        lines = [f"GET {name} HTTP/1.1", f"Host: {host}", "User-Agent: hallproxy"]
+        if way.authorization:
+            lines.append(f"Authorization: {way.authorization}")
         if not order.digest:
             lines.append(f"Accept: {JSON}, {HTML};q=0.2, {PLAIN_HTML};q=0.1")
         if order.validator:
@@ -555,7 +581,7 @@
             lines.append(f"Cache-Control: max-age={order.max_age // SECOND}")
         return "\r\n".join([*lines, "", ""]).encode()
 
-    def read(self, order: Order, head: Head, body: bytes, sent_at: int) -> Result:
+    def read(self, order: Order, head: Head, body: bytes, sent_at: int, host: str = "") -> Result:
         """An answer in the core's terms. Only bytes that hash to what the index named are a good one."""
         if head.status in (404, 410):
             return Result(i.Status.MISS, reason=Reason.ABSENT)
@@ -574,7 +600,7 @@
             return Result(i.Status.OK, body, order.held == order.digest, order.digest, born)
         try:
             media = head.fields.get("content-type", PLAIN_HTML)
-            index = read_index(body, media, order.name, self._hosts)
+            index = read_index(body, media, order.name, self._hosts, self._ways.get(host, NO_WAY).prefix)
         except BadIndex:
             return Result(i.Status.ERROR, reason=Reason.ERROR)
         packed = pack_index(index)
--- a/hallproxy/wire/stores.py
+++ b/hallproxy/wire/stores.py
@@ -87,7 +87,7 @@
     def head(self, order: Order, host: str) -> bytes:
         return order_head(order, host, self.settings)
 
-    def read(self, order: Order, head: Head, body: bytes, _sent_at: int) -> Result:
+    def read(self, order: Order, head: Head, body: bytes, _sent_at: int, _host: str = "") -> Result:
         if head.status == 304 and not order.held:
             raise HttpError("an answer 'unchanged' to a request that named no copy")
         return read_answer(head, body, self.settings)
--- /dev/null
+++ b/tests/test_upstream_ways.py
@@ -0,0 +1,141 @@
+"""Upstreams under a path prefix and behind credentials: asked as they need, and the secret never leaks."""
+
+from __future__ import annotations
+
+import base64
+import json
+import re
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from hallproxy.run.config import ConfigError
+from hallproxy.run.repository_config import load
+from hallproxy.state.effects import Order
+from hallproxy.wire import simple
+from tests.gateway import Seen, response
+from tests.test_repository import DEPLOY, PROJECT, Front, Stand, sha
+
+SECRET = "stations:s3cr3t-value"
+TOLD = "Basic " + base64.b64encode(SECRET.encode()).decode()
+
+
+def _file(tmp_path: Path, upstream: str) -> Path:
+    file = tmp_path / "repository.toml"
+    file.write_text(
+        re.sub(r'address = "127.0.0.1:8082"\n', f'address = "127.0.0.1:8082"\n{upstream}', DEPLOY)
+    )
+    return file
+
+
+def test_credentials_are_read_from_the_environment_as_basic_or_bearer(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setenv("UPSTREAM_SECRET", SECRET)
+    way = load(_file(tmp_path, 'credentials = "UPSTREAM_SECRET"\nprefix = "/pypi/"\n')).ways["127.0.0.1:8082"]
+    assert way.authorization == TOLD and way.prefix == "/pypi" and "s3cr3t" not in repr(way)
+    monkeypatch.setenv("UPSTREAM_SECRET", "just-a-token")
+    way = load(_file(tmp_path, 'credentials = "UPSTREAM_SECRET"\n')).ways["127.0.0.1:8082"]
+    assert way.authorization == "Bearer just-a-token" and way.prefix == ""
+
+
+@pytest.mark.parametrize(
+    ("upstream", "words"),
+    [
+        ('credentials = "NOT_SET_HERE"\n', "NOT_SET_HERE is unset"),
+        ('prefix = "no-slash"\n', "is no path"),
+        ('prefix = "/a b"\n', "is no path"),
+        ('password = "x"\n', "knows no 'password'"),
+    ],
+)
+def test_an_upstream_that_can_not_be_spoken_to_is_one_line(tmp_path: Path, upstream: str, words: str) -> None:
+    with pytest.raises(ConfigError, match=words) as caught:
+        load(_file(tmp_path, upstream))
+    assert "\n" not in str(caught.value)
+
+
+def test_indexes_go_under_the_prefix_and_files_by_the_path_their_index_named() -> None:
+    way = simple.Way("/pypi", TOLD)
+    upstream = simple.Upstream(1 << 20, ["127.0.0.1:9"], {"127.0.0.1:9": way})
+    index = Order("", 0, f"/simple/{PROJECT}/", 0, 1)
+    head = upstream.head(index, "127.0.0.1:9").decode()
+    assert (
+        head.startswith(f"GET /pypi/simple/{PROJECT}/ HTTP/1.1\r\n") and f"Authorization: {TOLD}\r\n" in head
+    )
+    file = Order("", 1, "/pypi/pool/a-1.whl", 0, 1, digest="ab" * 32)
+    assert upstream.head(file, "127.0.0.1:9").startswith(b"GET /pypi/pool/a-1.whl ")
+    assert b"Authorization" not in upstream.head(index, "127.0.0.1:10")  # another upstream's address
+    top = {"meta": {"api-version": "1.0"}, "name": PROJECT, "files": [
+        {"filename": "a-1.whl", "url": "../../pool/a-1.whl", "hashes": {"sha256": "ab" * 32}}]}  # fmt: skip
+    read = simple.read_index(json.dumps(top).encode(), simple.JSON, f"/simple/{PROJECT}/", (), "/pypi")
+    assert read.project == PROJECT and read.files[0].url == "/pypi/pool/a-1.whl"
+    listing = simple.read_index(
+        b'{"meta": {"api-version": "1.0"}, "projects": []}', simple.JSON, "/simple/", (), "/p"
+    )
+    assert listing.project == ""
+
+
+@pytest.fixture
+def guarded(tmp_path: Path) -> Iterator[Front]:
+    made = Front(tmp_path)
+    yield made
+    if hasattr(made, "program"):
+        assert made.program.stop() == 0
+
+
+def _guarded(stand: Stand, prefix: str) -> None:
+    """The stand answers only under ``prefix``, only to the right credentials, with relative links."""
+
+    def hook(seen: Seen) -> bytes | None:
+        if seen.fields.get("authorization") != TOLD:
+            return response(401, b"who are you", WWW_Authenticate='Basic realm="r"')
+        if not seen.path.startswith(prefix + "/"):
+            return response(404)
+        path = seen.path.removeprefix(prefix)
+        if path == f"/simple/{PROJECT}/":
+            files = [{"filename": n, "url": f"../../pool/{n}", "hashes": {"sha256": sha(b)}}
+                     for n, b in stand.files.items()]  # fmt: skip
+            body = json.dumps({"meta": {"api-version": "1.0"}, "name": PROJECT, "files": files}).encode()
+            return response(200, body, Content_Type=simple.JSON)
+        name = path.rsplit("/", 1)[1]
+        if path.startswith("/pool/") and name in stand.files:
+            return response(200, stand.files[name])
+        return response(404)
+
+    stand.hook = hook
+
+
+def _start(front: Front, monkeypatch: pytest.MonkeyPatch, secret: str) -> None:
+    monkeypatch.setenv("UPSTREAM_SECRET", secret)
+    address = front.stands[0].http.address
+    text = DEPLOY.replace('address = "127.0.0.1:8082"\n', f'address = "{address}"\n')
+    front.start(
+        text.replace("[settings]", 'prefix = "/pypi"\ncredentials = "UPSTREAM_SECRET"\n\n[settings]', 1)
+    )
+
+
+def test_an_upstream_under_a_prefix_and_behind_credentials_is_served(
+    guarded: Front, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    front = guarded
+    stand = front.stands[0]
+    _guarded(stand, "/pypi")
+    _start(front, monkeypatch, SECRET)
+    for name, url in front.urls().items():
+        got = front.get(url)
+        assert got.status == 200 and got.body == stand.files[name]
+        assert "s3cr3t" not in json.dumps(got.fields)
+    assert stand.http.seen and all(s.fields.get("authorization") == TOLD for s in stand.http.seen)
+    assert {s.path for s in stand.http.seen} >= {f"/pypi/simple/{PROJECT}/", "/pypi/pool/a-1.whl"}
+
+
+def test_credentials_that_are_refused_are_an_error_and_never_told(
+    guarded: Front, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    front = guarded
+    _guarded(front.stands[0], "/pypi")
+    _start(front, monkeypatch, "stations:wrong")
+    got = front.get(f"/simple/{PROJECT}/", Accept=simple.JSON)
+    assert got.status == 502 and b"wrong" not in got.body and "wrong" not in json.dumps(got.fields)
+    assert not [line for line in front.program.lines if "wrong" in line or "d3Jvbmc" in line]
