Second front: TLS to upstreams, certificates and names checked, failed handshakes said

Need: upstream repositories outside a loopback speak HTTPS; the front spoke plain HTTP only. Change: [[upstream]] takes tls, ca (PEM beside the deploy file) and server_name, made into an SSL context at load (TLS 1.2 at least; so SIGHUP reads the CA anew). The stores open a TlsStream (tornado's SSLIOStream with our gathered writes joined, and no peeking) where the speech asks for it; a handshake that fails says whether the certificate is untrusted or TLS failed, a store that is down says nothing. trustme makes the tests' certificates.

--- a/hallproxy/run/repository_config.py
+++ b/hallproxy/run/repository_config.py
@@ -6,6 +6,7 @@
 import json
 import os
 import re
+import ssl
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -45,7 +46,7 @@
             if name not in {c.name for c in settings.classes}:
                 raise ConfigError(f"settings name no class {name}")
         upstreams = tuple((str(u["id"]), str(u["address"])) for u in top["upstream"])
-        ways = {str(u["address"]): _way(u) for u in top["upstream"]}
+        ways = {str(u["address"]): _way(u, path.parent) for u in top["upstream"]}
         for _, where in upstreams:
             address(where)
         if not upstreams or len({ident for ident, _ in upstreams}) < len(upstreams):
@@ -71,11 +72,11 @@
         raise ConfigError(f"{path}: {error}") from None
 
 
-UPSTREAM_KEYS = {"id", "address", "prefix", "credentials"}
+UPSTREAM_KEYS = {"id", "address", "prefix", "credentials", "tls", "ca", "server_name"}
 PREFIX = re.compile(r"(/[A-Za-z0-9._~!$&'()*+,;=:@%-]+)*")
 
 
-def _way(table: dict[str, object]) -> simple.Way:
+def _way(table: dict[str, object], here: Path) -> simple.Way:
     """``prefix``: where the upstream's paths begin; ``credentials``: the name of an environment variable.
 
     Its value ``user:password`` is sent as Basic, any other as a Bearer token. The file names only the
@@ -95,7 +96,24 @@
             authorization = "Basic " + base64.b64encode(secret.encode()).decode()
         else:
             authorization = f"Bearer {secret}"
-    return simple.Way(prefix, authorization)
+    return simple.Way(prefix, authorization, _tls(table, here), str(table.get("server_name", "")))
+
+
+def _tls(table: dict[str, object], here: Path) -> ssl.SSLContext | None:
+    """``tls = true``: certificates checked against the system's roots, or ``ca`` (PEM, beside the file)."""
+    tls, ca = table.get("tls", False), table.get("ca")
+    if type(tls) is not bool:
+        raise ConfigError(f"upstream {table.get('id')!r}: tls is {tls!r}, not true or false")
+    if not tls:
+        if ca is not None or "server_name" in table:
+            raise ConfigError(f"upstream {table.get('id')!r}: ca and server_name need tls = true")
+        return None
+    try:
+        context = ssl.create_default_context(cafile=here / str(ca) if ca is not None else None)
+    except (OSError, ssl.SSLError) as error:
+        raise ConfigError(f"upstream {table.get('id')!r}: ca {ca!r} can't be used: {error}") from None
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    return context
 
 
 def _rule(table: dict[str, object]) -> Rule:
--- a/hallproxy/run/sockets.py
+++ b/hallproxy/run/sockets.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import socket
+import ssl
 from collections import deque
 from collections.abc import Callable, Sequence
 
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import IOStream, SSLIOStream, StreamClosedError
 
 READ = 16_384  # bytes a buffer starts with
 
@@ -74,6 +75,27 @@
             sent = 0
 
 
+class TlsStream(SSLIOStream, Stream):
+    """A Stream over TLS. Records can't be gathered or peeked at, so each write is one piece, and an idle
+    connection counts as usable until a read shows it closed: what is then lost was sent, and is repeated
+    only as its class allows."""
+
+    def stale(self) -> bool:
+        return self.closed()
+
+    def gather(self, pieces: Sequence[bytes]) -> None:
+        if self.closed():
+            raise StreamClosedError(self.error)
+        self.write(b"".join(pieces)).add_done_callback(lambda f: f.exception())
+
+
+def tls_stream(sock: socket.socket, context: ssl.SSLContext) -> Stream:
+    """A stream that speaks TLS with ``context`` once connected; its ``connect`` ends after the handshake."""
+    made = TlsStream(sock, ssl_options=context, max_buffer_size=1 << 40, read_chunk_size=65_536)
+    made.set_nodelay(True)
+    return made
+
+
 def stream(sock: socket.socket) -> Stream:
     """The read buffer of the stream's own is never filled: reads go into ours."""
     # The stream's own limit would count what is read into our buffers too, which have bounds of their own.
--- a/hallproxy/run/stores.py
+++ b/hallproxy/run/stores.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import socket
+import ssl
 from typing import Protocol
 
 from tornado.iostream import StreamClosedError
 
 from hallproxy.run.config import ConfigError, address
 from hallproxy.run.loop import Loop, say
-from hallproxy.run.sockets import Budget, Buffer, Stream, stream
+from hallproxy.run.sockets import Budget, Buffer, Stream, stream, tls_stream
 from hallproxy.state.effects import Order, Send
 from hallproxy.state.events import Answered, LinkDown, LinkUp, Result
 from hallproxy.wire.http1 import Head, HttpError, chunk_size, response_head
@@ -31,6 +32,8 @@
 
     def head(self, order: Order, host: str) -> bytes: ...
 
+    def tls(self, host: str) -> tuple[ssl.SSLContext, str] | None: ...  # context and the name to check
+
     def read(self, order: Order, head: Head, body: bytes, sent_at: int, host: str) -> Result: ...
 
 
@@ -52,9 +55,10 @@
         except OSError as error:
             say(f"store {host}: {error.strerror}")
             return self._loop.bring(LinkDown(self._loop.now(), link))
-        self._streams[link] = made = stream(sock)
+        tls = self._speech.tls(host)
+        self._streams[link] = made = stream(sock) if tls is None else tls_stream(sock, tls[0])
         self._hosts[link] = host
-        task = asyncio.get_running_loop().create_task(self._serve(link, made, host))
+        task = asyncio.get_running_loop().create_task(self._serve(link, made, host, tls and tls[1]))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -81,11 +85,16 @@
         if made is not None:
             made.close()
 
-    async def _serve(self, link: int, made: Stream, host: str) -> None:
+    async def _serve(self, link: int, made: Stream, host: str, name: str | None = None) -> None:
         try:
             if link not in self._streams:
                 return  # taken back before its turn came
-            await made.connect(address(host))
+            try:
+                await made.connect(address(host), server_hostname=name)
+            except (StreamClosedError, OSError) as error:
+                if name is not None:
+                    _tls_failed(host, error)
+                raise
             self._loop.bring(LinkUp(self._loop.now(), link))
             buffer = Buffer()
             while link in self._streams:
@@ -137,6 +146,20 @@
             self._budget.give(size)
 
 
+def _tls_failed(host: str, error: Exception) -> None:
+    """A handshake that failed says why: an untrusted or misnamed certificate is the operator's to mend.
+
+    A store that is down is no news: its connects fail the same way without TLS.
+    """
+    real = error.real_error if isinstance(error, StreamClosedError) else error
+    if isinstance(real, ConnectionRefusedError):
+        return None
+    if isinstance(real, ssl.SSLCertVerificationError):
+        return say(f"store {host}: its certificate is not trusted: {real.verify_message}")
+    reason = real.reason if isinstance(real, ssl.SSLError) else real
+    return say(f"store {host}: TLS failed: {reason or 'the connection closed in the handshake'}")
+
+
 async def read_head(made: Stream, buffer: Buffer, pause: float | None = None) -> Head:
     """The final answer's head; those of 1xx ahead of it are passed over, and may be long ahead."""
     for _ in range(INTERIM_MOST):
--- a/hallproxy/wire/simple.py
+++ b/hallproxy/wire/simple.py
@@ -14,6 +14,7 @@
 import html
 import json
 import re
+import ssl
 import threading
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping
@@ -542,9 +543,12 @@
 
     prefix: str = ""
     authorization: str = ""
+    tls: ssl.SSLContext | None = None  # None: plain HTTP
+    server_name: str = ""  # the name that its certificate must bear, and the Host field; "": the address
 
     def __repr__(self) -> str:
-        return f"Way(prefix={self.prefix!r}, authorization={'…' if self.authorization else ''!r})"
+        told = "…" if self.authorization else ""
+        return f"Way(prefix={self.prefix!r}, authorization={told!r}, tls={self.tls is not None})"
 
 
 NO_WAY = Way()
@@ -569,7 +573,7 @@
         way = self._ways.get(host, NO_WAY)
         # Indexes are asked by their own path under the prefix; a file by the path its index named.
         name = order.name if order.digest else way.prefix + order.name
-        lines = [f"GET {name} HTTP/1.1", f"Host: {host}", "User-Agent: hallproxy"]
+        lines = [f"GET {name} HTTP/1.1", f"Host: {way.server_name or host}", "User-Agent: hallproxy"]
         if way.authorization:
             lines.append(f"Authorization: {way.authorization}")
         if not order.digest:
@@ -581,6 +585,13 @@
             lines.append(f"Cache-Control: max-age={order.max_age // SECOND}")
         return "\r\n".join([*lines, "", ""]).encode()
 
+    def tls(self, host: str) -> tuple[ssl.SSLContext, str] | None:
+        """The context to speak TLS to ``host`` with, and the name its certificate must bear; None: plain."""
+        way = self._ways.get(host, NO_WAY)
+        if way.tls is None:
+            return None
+        return way.tls, way.server_name or host.rsplit(":", 1)[0]
+
     def read(self, order: Order, head: Head, body: bytes, sent_at: int, host: str = "") -> Result:
         """An answer in the core's terms. Only bytes that hash to what the index named are a good one."""
         if head.status in (404, 410):
--- a/hallproxy/wire/stores.py
+++ b/hallproxy/wire/stores.py
@@ -87,6 +87,9 @@
     def head(self, order: Order, host: str) -> bytes:
         return order_head(order, host, self.settings)
 
+    def tls(self, _host: str) -> None:
+        return None  # the platform's stores speak plain HTTP on its own network
+
     def read(self, order: Order, head: Head, body: bytes, _sent_at: int, _host: str = "") -> Result:
         if head.status == 304 and not order.held:
             raise HttpError("an answer 'unchanged' to a request that named no copy")
--- /dev/null
+++ b/tests/test_upstream_tls.py
@@ -0,0 +1,101 @@
+"""TLS to upstream repositories: certificates and names checked, failures said plainly."""
+
+from __future__ import annotations
+
+import re
+import ssl
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+import trustme
+
+from hallproxy.run.config import ConfigError
+from hallproxy.run.repository_config import load
+from hallproxy.wire import simple
+from tests.gateway import until
+from tests.test_repository import DEPLOY, PROJECT, Front, Stand
+
+
+def _speaks_tls(stand: Stand, authority: trustme.CA, *names: str) -> None:
+    """The stand answers over TLS alone, with a certificate for ``names`` from ``authority``."""
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    authority.issue_cert(*names).configure_cert(context)
+    plain = stand.http.listener._handle
+    stand.http.listener._handle = lambda made: plain(context.wrap_socket(made, server_side=True))
+
+
+@pytest.fixture
+def tls(tmp_path: Path) -> Iterator[Front]:
+    made = Front(tmp_path)
+    yield made
+    if hasattr(made, "program"):
+        assert made.program.stop() == 0
+
+
+def _start(front: Front, trusted: trustme.CA, lines: str = "") -> None:
+    trusted.cert_pem.write_to_path(str(front.path / "ca.pem"))
+    told = f'tls = true\nca = "ca.pem"\n{lines}\n[settings]'
+    front.start(DEPLOY.replace("[settings]", told, 1))
+
+
+def test_indexes_and_files_come_over_tls_on_kept_connections(tls: Front) -> None:
+    authority, stand = trustme.CA(), tls.stands[0]
+    _speaks_tls(stand, authority, "127.0.0.1")
+    _start(tls, authority)
+    for _ in range(4):
+        tls.purge()  # nothing kept: each round goes upstream
+        for name, url in tls.urls().items():
+            got = tls.get(url)
+            assert got.status == 200 and got.body == stand.files[name]
+    assert len(stand.http.seen) >= 6 and stand.http.seen[0].fields["host"] == stand.http.address
+    assert len(stand.http.listener.connections) < len(stand.http.seen)  # connections were used again
+
+
+def test_the_name_checked_is_the_server_name_and_it_is_the_host(tls: Front) -> None:
+    authority, stand = trustme.CA(), tls.stands[0]
+    _speaks_tls(stand, authority, "repository.internal")
+    _start(tls, authority, 'server_name = "repository.internal"\n')
+    assert tls.get(f"/simple/{PROJECT}/", Accept=simple.JSON).status == 200
+    assert stand.http.seen[0].fields["host"] == "repository.internal"
+
+
+@pytest.mark.parametrize(
+    ("names", "said"),
+    [(("127.0.0.1",), "certificate is not trusted"), (("elsewhere.internal",), "certificate is not trusted")],
+)
+def test_a_certificate_not_trusted_or_for_another_name_is_a_502_and_a_line(
+    tls: Front, names: tuple[str, ...], said: str
+) -> None:
+    stand = tls.stands[0]
+    other = trustme.CA() if names == ("127.0.0.1",) else None
+    trusted = trustme.CA()
+    _speaks_tls(stand, other or trusted, *names)
+    _start(tls, trusted)
+    got = tls.get(f"/simple/{PROJECT}/", Accept=simple.JSON)
+    assert got.status == 502 and not stand.http.seen
+    until(lambda: [line for line in tls.program.lines if said in line])
+
+
+def test_an_upstream_that_speaks_no_tls_is_a_502_and_a_line(tls: Front) -> None:
+    _start(tls, trustme.CA())  # the stand speaks plain HTTP
+    assert tls.get(f"/simple/{PROJECT}/", Accept=simple.JSON).status == 502
+    until(lambda: [line for line in tls.program.lines if "TLS failed" in line])
+
+
+@pytest.mark.parametrize(
+    ("lines", "words"),
+    [
+        ('tls = "yes"\n', "not true or false"),
+        ('tls = true\nca = "nowhere.pem"\n', "can't be used"),
+        ('tls = true\nca = "bad.pem"\n', "can't be used"),
+        ('ca = "bad.pem"\n', "need tls = true"),
+    ],
+)
+def test_tls_settings_that_can_not_be_used_are_one_line(tmp_path: Path, lines: str, words: str) -> None:
+    (tmp_path / "bad.pem").write_text("-----BEGIN CERTIFICATE-----\nno\n-----END CERTIFICATE-----\n")
+    file = tmp_path / "repository.toml"
+    file.write_text(re.sub(r'(address = "127.0.0.1:8082"\n)', rf"\g<1>{lines}", DEPLOY))
+    with pytest.raises(ConfigError, match=words) as caught:
+        load(file)
+    assert "\n" not in str(caught.value)
