Second front: TLS towards clients, certificate and key taken anew by SIGHUP

Need: a repository front on any network but loopback must speak HTTPS to pip and others. Change: tls_certificate and tls_key in the deploy file make an SSL context (TLS 1.2 at least); accepted sockets become TlsStreams whose handshake must end within the 5 s of a first request. SIGHUP loads the pair again for new connections; a pair that can't be used changes nothing, and turning TLS on or off asks for a restart. Where there is no place, a TLS connection is closed without a handshake rather than answered.

--- a/hallproxy/run/repository.py
+++ b/hallproxy/run/repository.py
@@ -14,6 +14,7 @@
 import hmac
 import json
 import socket
+import ssl
 import time
 from collections import Counter
 from collections.abc import Callable, Mapping
@@ -30,7 +31,7 @@
 from hallproxy.run.contracts import Applied
 from hallproxy.run.loop import Loop, say
 from hallproxy.run.repository_config import INDEX, PACKAGE
-from hallproxy.run.sockets import Buffer, Stream, stream
+from hallproxy.run.sockets import Buffer, Stream, TlsStream, stream, tls_accepted
 from hallproxy.run.turnaway import NO_ROOM, TurnAway
 from hallproxy.state.events import Answer, Arrived, Asked, CallerLeft, Lagged, Reason, Verdict
 from hallproxy.wire import codings, ranges, simple
@@ -134,6 +135,7 @@
     ) -> None:
         self.loop = loop
         self.routes = routes or Routes((), ())  # read anew with the deploy file
+        self.tls: ssl.SSLContext | None = None  # towards clients; a reload's is for new connections
         self._indexes = indexes or simple.Remembered()
         self.applied = Applied()  # teams' tokens and services' projects; read anew with the contracts
         self._classes = {c.name: n for n, c in enumerate(loop.state.settings.classes)}
@@ -152,14 +154,19 @@
     def accept(self, sock: socket.socket, peer: tuple[str, int]) -> None:
         """Take a connection if there is a place and time for it; else it is told when to come back."""
         address, now = peer[0], self.loop.now()
-        network = neighbourhood(address)
+        network, plain = neighbourhood(address), self.tls is None
         if not self.places.connect(network, now):
             if not self._make_room(network) or not self.places.connect(network, now):
-                return self.turn_away.take(sock)
+                return self.turn_away.take(sock, plain)
         if not self.places.request(network, now):  # a connection is opened to ask
             self.places.leave(network)
-            return self.turn_away.take(sock)
-        seat = Seat(stream(sock), address, network)
+            return self.turn_away.take(sock, plain)
+        try:
+            made = stream(sock) if self.tls is None else tls_accepted(sock, self.tls)
+        except (OSError, ValueError):
+            self.places.leave(network)
+            return sock.close()
+        seat = Seat(made, address, network)
         task = asyncio.get_running_loop().create_task(self._serve(seat))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -204,6 +211,9 @@
     async def _serve(self, seat: Seat) -> None:
         reader, wait = _Reader(seat.made), FIRST_IN
         try:
+            if isinstance(seat.made, TlsStream):
+                # Within the time for the first head: who never ends a handshake must not hold a place.
+                await asyncio.wait_for(seat.made.wait_for_handshake(), FIRST_IN)
             while True:
                 self._idle[seat] = None
                 try:
@@ -227,7 +237,7 @@
                     self.places.finished()
                 if not keeps:
                     return
-        except (StreamClosedError, OSError, TimeoutError):
+        except (StreamClosedError, OSError, TimeoutError, ssl.SSLError):
             pass
         finally:
             self._idle.pop(seat, None)
--- a/hallproxy/run/repository_config.py
+++ b/hallproxy/run/repository_config.py
@@ -18,7 +18,7 @@
 
 INDEX, PACKAGE = "index", "package"  # the classes that its settings must name
 KEYS = ("listen", "changelog", "contracts", "file_most_mb", "copies_mb", "absent_ms", "upstream", "route",
-        "settings")  # fmt: skip
+        "tls_certificate", "tls_key", "settings")  # fmt: skip
 
 
 @dataclass(slots=True, frozen=True)
@@ -33,6 +33,7 @@
     settings: i.Settings
     routes: Routes
     ways: dict[str, simple.Way]  # by address: the prefix of an upstream's paths, and its credentials
+    tls: ssl.SSLContext | None  # towards clients; None: plain HTTP
 
 
 def load(path: Path) -> RepositoryConfig:
@@ -63,6 +64,7 @@
             settings=settings,
             routes=Routes(tuple(_rule(r) for r in top.get("route", [])), tuple(u for u, _ in upstreams)),
             ways=ways,
+            tls=_serving(top, path.parent),
         )
     except KeyError as error:
         raise ConfigError(f"{path}: {error} is missing") from None
@@ -99,6 +101,22 @@
     return simple.Way(prefix, authorization, _tls(table, here), str(table.get("server_name", "")))
 
 
+def _serving(top: dict[str, object], here: Path) -> ssl.SSLContext | None:
+    """``tls_certificate`` (PEM, the chain) and ``tls_key`` (PEM) beside the file: TLS towards clients."""
+    certificate, key = top.get("tls_certificate"), top.get("tls_key")
+    if certificate is None and key is None:
+        return None
+    if not isinstance(certificate, str) or not isinstance(key, str):
+        raise ConfigError("tls_certificate and tls_key go together, each the name of a PEM file")
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    try:
+        context.load_cert_chain(here / certificate, here / key)
+    except (OSError, ssl.SSLError) as error:
+        raise ConfigError(f"tls_certificate {certificate!r} or tls_key {key!r}: {error}") from None
+    return context
+
+
 def _tls(table: dict[str, object], here: Path) -> ssl.SSLContext | None:
     """``tls = true``: certificates checked against the system's roots, or ``ca`` (PEM, beside the file)."""
     tls, ca = table.get("tls", False), table.get("ca")
--- a/hallproxy/run/repository_main.py
+++ b/hallproxy/run/repository_main.py
@@ -64,6 +64,7 @@
     loop.stores = HttpStores(loop, upstream)
     loop.bring(_members(config, loop.now()))
     front = Repository(loop, CONNECTIONS, upstream.indexes, config.routes)
+    front.tls = config.tls
     contracts = Watch(config.contracts, loop, front) if config.contracts is not None else None
     if contracts is not None:
         contracts.look(first=True)
@@ -92,6 +93,8 @@
             raise ConfigError("other classes need a restart")
         if (new.listen, new.contracts) != (config.listen, config.contracts):
             raise ConfigError("another address to listen on, or other contracts, need a restart")
+        if (new.tls is None) != (config.tls is None):
+            raise ConfigError("TLS towards clients where there was none, or none any more, needs a restart")
         if (new.changelog is None) != (poller is None):
             raise ConfigError("a change log where there was none, or none any more, needs a restart")
         check(new.settings)
@@ -99,6 +102,7 @@
         loop.bring(Reconfigured(loop.now(), new.settings, bounds(new)))
         loop.bring(_members(new, loop.now()))
         front.routes = new.routes
+        front.tls = new.tls
         if poller is not None and new.changelog is not None:
             poller.move(new.changelog, {"results": []})
 
--- a/hallproxy/run/sockets.py
+++ b/hallproxy/run/sockets.py
@@ -96,6 +96,14 @@
     return made
 
 
+def tls_accepted(sock: socket.socket, context: ssl.SSLContext) -> Stream:
+    """A client's connection that speaks TLS with ``context``; ``wait_for_handshake`` tells when it can."""
+    wrapped = context.wrap_socket(sock, server_side=True, do_handshake_on_connect=False)
+    made = TlsStream(wrapped, max_buffer_size=1 << 40, read_chunk_size=65_536)
+    made.set_nodelay(True)
+    return made
+
+
 def stream(sock: socket.socket) -> Stream:
     """The read buffer of the stream's own is never filled: reads go into ours."""
     # The stream's own limit would count what is read into our buffers too, which have bounds of their own.
--- a/hallproxy/run/turnaway.py
+++ b/hallproxy/run/turnaway.py
@@ -23,9 +23,14 @@
         self._held: dict[int, tuple[socket.socket, asyncio.TimerHandle]] = {}
         self.count = 0
 
-    def take(self, sock: socket.socket) -> None:
-        """Answer and close it, now or as soon as it has said something."""
+    def take(self, sock: socket.socket, plain: bool = True) -> None:
+        """Answer and close it, now or as soon as it has said something.
+
+        ``plain`` False: the listener speaks TLS, and a handshake would cost more than the answer: closed.
+        """
         self.count += 1
+        if not plain:
+            return sock.close()
         sock.setblocking(False)
         try:
             if sock.recv(READ):
--- a/tests/test_upstream_tls.py
+++ b/tests/test_upstream_tls.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
+import http.client
+import json
 import re
+import signal
+import socket
 import ssl
+import time
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -78,6 +84,13 @@
 
 
 def test_an_upstream_that_speaks_no_tls_is_a_502_and_a_line(tls: Front) -> None:
+    plain = tls.stands[0].http.listener._handle
+
+    def handle(made: socket.socket) -> None:
+        with contextlib.suppress(UnicodeDecodeError):  # a handshake read as a request
+            plain(made)
+
+    tls.stands[0].http.listener._handle = handle
     _start(tls, trustme.CA())  # the stand speaks plain HTTP
     assert tls.get(f"/simple/{PROJECT}/", Accept=simple.JSON).status == 502
     until(lambda: [line for line in tls.program.lines if "TLS failed" in line])
@@ -99,3 +112,87 @@
     with pytest.raises(ConfigError, match=words) as caught:
         load(file)
     assert "\n" not in str(caught.value)
+
+
+def _served(front: Front, authority: trustme.CA, names: tuple[str, ...] = ("127.0.0.1",)) -> None:
+    """The front's own certificate, from ``authority``, written where its deploy file names it."""
+    issued = authority.issue_cert(*names)
+    (front.path / "server.pem").write_bytes(b"".join(pem.bytes() for pem in issued.cert_chain_pems))
+    issued.private_key_pem.write_to_path(str(front.path / "server.key"))
+
+
+def _https(front: Front, authority: trustme.CA, path: str) -> tuple[int, bytes]:
+    context = ssl.create_default_context()
+    authority.configure_trust(context)
+    made = http.client.HTTPSConnection("127.0.0.1", front.program.port, timeout=10, context=context)
+    try:
+        made.request("GET", path, headers={"Accept": simple.JSON})
+        said = made.getresponse()
+        return said.status, said.read()
+    finally:
+        made.close()
+
+
+def _start_served(front: Front, authority: trustme.CA) -> None:
+    _served(front, authority)
+    told = 'tls_certificate = "server.pem"\ntls_key = "server.key"\n\n[[upstream]]'
+    front.start(DEPLOY.replace("[[upstream]]", told, 1))
+
+
+def test_clients_are_served_over_tls_and_plain_http_is_not_answered(tls: Front) -> None:
+    authority = trustme.CA()
+    _start_served(tls, authority)
+    status, body = _https(tls, authority, f"/simple/{PROJECT}/")
+    assert status == 200
+    url = json.loads(body)["files"][0]["url"]
+    assert _https(tls, authority, url) == (200, tls.stands[0].files["a-1.whl"])
+    with pytest.raises((http.client.HTTPException, OSError)):
+        tls.get(f"/simple/{PROJECT}/")
+    assert _https(tls, authority, f"/simple/{PROJECT}/")[0] == 200
+
+
+def test_a_reload_takes_a_new_certificate_for_new_connections_and_keeps_the_old_on_a_bad_one(
+    tls: Front,
+) -> None:
+    first, second = trustme.CA(), trustme.CA()
+    _start_served(tls, first)
+    (tls.path / "server.pem").write_text("not a certificate")
+    tls.program.process.send_signal(signal.SIGHUP)
+    until(lambda: any("stays as it was" in x for x in tls.program.lines))
+    assert _https(tls, first, "/simple/")[0] == 200
+    _served(tls, second)
+    tls.program.process.send_signal(signal.SIGHUP)
+
+    def second_holds() -> bool:
+        try:
+            return _https(tls, second, "/simple/")[0] == 200
+        except ssl.SSLError:
+            return False
+
+    until(second_holds)
+    with pytest.raises(ssl.SSLError):
+        _https(tls, first, "/simple/")
+
+
+def test_a_client_that_never_ends_its_handshake_is_closed(tls: Front) -> None:
+    _start_served(tls, trustme.CA())
+    with socket.create_connection(("127.0.0.1", tls.program.port), timeout=15) as made:
+        made.sendall(b"\x16\x03\x01")  # the start of a record, and then nothing
+        began = time.monotonic()
+        assert made.recv(100) == b""
+        assert 4.0 < time.monotonic() - began < 12.0
+
+
+@pytest.mark.parametrize(
+    ("lines", "words"),
+    [
+        ('tls_certificate = "server.pem"\n', "go together"),
+        ('tls_certificate = "server.pem"\ntls_key = "nowhere.key"\n', "nowhere.key"),
+    ],
+)
+def test_a_front_certificate_that_can_not_be_used_is_one_line(tmp_path: Path, lines: str, words: str) -> None:
+    file = tmp_path / "repository.toml"
+    file.write_text(DEPLOY.replace("[[upstream]]", f"{lines}\n[[upstream]]", 1))
+    with pytest.raises(ConfigError, match=words) as caught:
+        load(file)
+    assert "\n" not in str(caught.value)
