--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
@@ -87,10 +88,12 @@
 
 
 @pytest.fixture
-def two(tmp_path: Path) -> Front:
+def two(tmp_path: Path) -> Iterator[Front]:
     made = Front(tmp_path, [Stand(), Stand()])
     made.stands[1].files = {"a-1.whl": b"evil" * 750}  # the same name in public, other bytes
-    return made
+    yield made
+    if hasattr(made, "program"):
+        assert made.program.stop() == 0
 
 
 def test_the_first_tier_that_has_the_project_answers_alone(two: Front) -> None:
