Test: a reload takes up new routes, and a route naming no upstream changes nothing

Change: one test on sockets: a pinned project is 404 with the public stand-in unasked; a rule naming r-9 is refused with its line and nothing changes; a rule with a second tier then serves the public index.

--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import signal
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -12,7 +13,7 @@
 from hallproxy.run.config import ConfigError
 from hallproxy.run.repository_config import load
 from hallproxy.wire import simple
-from tests.gateway import response
+from tests.gateway import response, until
 from tests.test_repository import DEPLOY, PROJECT, Front, Stand, sha
 
 UPSTREAMS = ("private", "mirror", "public")
@@ -167,3 +168,20 @@
         walked = next((place for place, rule in ordered if fnmatchcase(name, rule.projects[0])), -1)
         assert routes.route(name).rule == walked, name
     assert len(routes._known) <= KNOWN_MOST
+
+
+def test_a_reload_takes_up_new_routes_and_a_bad_one_changes_nothing(two: Front) -> None:
+    private, public = two.stands
+    private.hook = lambda seen: response(404) if seen.path.startswith("/simple/") else b"pass"
+    _routed(two, "r-0")
+    assert two.get(f"/simple/{PROJECT}/", Accept=simple.JSON).status == 404
+    path = two.path / "repository.toml"
+    text = path.read_text()
+    path.write_text(text.replace('upstreams = [["r-0"]]', 'upstreams = [["r-9"]]'))
+    two.program.process.send_signal(signal.SIGHUP)
+    until(lambda: any("stays as it was" in x and "r-9" in x for x in two.program.lines))
+    assert two.get(f"/simple/{PROJECT}/", Accept=simple.JSON).status == 404 and not _asked(public)
+    path.write_text(text.replace('upstreams = [["r-0"]]', 'upstreams = [["r-0"], ["r-1"]]'))
+    two.program.process.send_signal(signal.SIGHUP)
+    until(lambda: two.get(f"/simple/{PROJECT}/", Accept=simple.JSON).status == 200)
+    assert list(two.urls()) == ["a-1.whl"] and _asked(public)
