--- a/tests/test_pip.py
+++ b/tests/test_pip.py
@@ -9,6 +9,7 @@
 import hashlib
 import io
 import json
+import os
 import subprocess
 import sys
 import zipfile
@@ -136,3 +137,26 @@
     assert done.returncode != 0
     assert not (tmp_path / "got").exists() or not list((tmp_path / "got").iterdir())
     assert hashlib.sha256(swapped).hexdigest() != hashlib.sha256(named).hexdigest()
+
+
+def test_pip_over_tls_trusts_the_front_by_its_own_authority(
+    releases: tuple[Front, Releases], tmp_path: Path
+) -> None:
+    import trustme  # for tests alone
+
+    from tests.test_upstream_tls import _start_served
+
+    front, told = releases
+    chosen = told.add("1.0")
+    authority = trustme.CA()
+    authority.cert_pem.write_to_path(str(tmp_path / "ca.pem"))
+    _start_served(front, authority)
+    index = f"https://127.0.0.1:{front.program.port}/simple/"
+    command = [sys.executable, "-m", "pip", "--isolated", "--disable-pip-version-check", "--no-cache-dir",
+               "--cert", str(tmp_path / "ca.pem"), "download", "--no-deps", "--index-url", index,
+               "-d", str(tmp_path / "got"), PROJECT]  # fmt: skip
+    # pip's HTTP library lets these variables stand above --cert: a machine that sets them must not decide.
+    env = {k: v for k, v in os.environ.items() if k not in ("REQUESTS_CA_BUNDLE", "CURL_CA_BUNDLE")}
+    done = subprocess.run(command, capture_output=True, text=True, timeout=120, check=False, env=env)
+    assert done.returncode == 0, done.stderr
+    assert [p.name for p in (tmp_path / "got").iterdir()] == [chosen]
