A store that refuses who asks is told in the log once for each change

Need: an upstream that refused the credentials (401, 403) was only a 502 to the client; the operator could not see why. Change: the stores' reader says "refuses who asks (STATUS); look at the credentials" when a host begins to refuse, and "lets who asks in again" when it stops: once for each change, kept by host, so a flood of requests is one line.

--- a/hallproxy/run/stores.py
+++ b/hallproxy/run/stores.py
@@ -48,6 +48,7 @@
         self._streams: dict[int, Stream] = {}
         self._hosts: dict[int, str] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._refused: dict[str, int] = {}  # by host: the refusal last told of; as many as there are hosts
 
     def open(self, link: int, host: str) -> None:
         try:
@@ -113,6 +114,16 @@
                 self._loop.bring(LinkDown(self._loop.now(), link))
                 self.close(link)
 
+    def _told_refusal(self, host: str, status: int) -> None:
+        """A refusal of who asks is said once for each change, not for each request that meets it."""
+        refused = status if status in REFUSALS else 0
+        if self._refused.get(host, 0) != refused:
+            if refused:
+                say(f"store {host}: refuses who asks ({refused}); look at the credentials")
+            elif host in self._refused:
+                say(f"store {host}: lets who asks in again")
+            self._refused[host] = refused
+
     async def _one(self, link: int, made: Stream, buffer: Buffer, host: str) -> bool:
         """Bring one answer; false: nobody waits for it any more."""
         if not buffer.filled:
@@ -122,6 +133,7 @@
             raise HttpError("bytes that nobody asked for")
         pause = self._speech.pause
         head = await read_head(made, buffer, pause)
+        self._told_refusal(host, head.status)
         size = min(CHUNKED if head.length is None else head.length, self._speech.most)
         await self._budget.take(size)
         try:
@@ -146,6 +158,9 @@
             self._budget.give(size)
 
 
+REFUSALS = (401, 403, 407)  # who asks is not let in: the operator's credentials, not the store's health
+
+
 def _tls_failed(host: str, error: Exception) -> None:
     """A handshake that failed says why: an untrusted or misnamed certificate is the operator's to mend.
 
--- a/tests/test_upstream_ways.py
+++ b/tests/test_upstream_ways.py
@@ -14,7 +14,7 @@
 from hallproxy.run.repository_config import load
 from hallproxy.state.effects import Order
 from hallproxy.wire import simple
-from tests.gateway import Seen, response
+from tests.gateway import Seen, response, until
 from tests.test_repository import DEPLOY, PROJECT, Front, Stand, sha
 
 SECRET = "stations:s3cr3t-value"
@@ -139,3 +139,6 @@
     got = front.get(f"/simple/{PROJECT}/", Accept=simple.JSON)
     assert got.status == 502 and b"wrong" not in got.body and "wrong" not in json.dumps(got.fields)
     assert not [line for line in front.program.lines if "wrong" in line or "d3Jvbmc" in line]
+    front.get(f"/simple/{PROJECT}/", Accept=simple.JSON)
+    told = until(lambda: [line for line in front.program.lines if "refuses who asks (401)" in line])
+    assert len(told) == 1  # once for the change, not for each request
