--- a/tests/test_conformance.py
+++ b/tests/test_conformance.py
@@ -17,7 +17,7 @@
 from hallproxy.lab import conformance
 from hallproxy.wire import codings, ranges, simple
 from tests.gateway import Seen, response
-from tests.test_repository import PROJECT, Front, front, sha  # noqa: F401
+from tests.test_repository import PROJECT, Front, sha
 
 METADATA = b"Metadata-Version: 2.1\nName: charger-fw\nVersion: 1.0\n"
 WHEEL, SOURCE = "charger_fw-1.0-py3-none-any.whl", "charger_fw-0.9.tar.gz"
@@ -72,7 +72,7 @@
 
 
 @pytest.mark.parametrize("form", ["json", "html"])
-def test_every_point_holds(front: Front, form: str) -> None:  # noqa: F811
+def test_every_point_holds(front: Front, form: str) -> None:
     front.stands[0].hook = lambda seen: upstream(seen, TOP, form)
     front.start()
     lines = conformance.run(conformance.Asker("127.0.0.1", front.program.port, PROJECT))
@@ -83,7 +83,7 @@
     assert len(lines) >= 30
 
 
-def test_the_report_tells_a_repository_that_does_not_hold(front: Front, capsys: Any) -> None:  # noqa: F811
+def test_the_report_tells_a_repository_that_does_not_hold(front: Front, capsys: Any) -> None:
     """A suite that can't fail would prove nothing: a project that is not there fails nearly all."""
     front.start()
     at = f"127.0.0.1:{front.program.port}"
@@ -92,7 +92,7 @@
     assert "failed  " in said and said.count("\n") == len(conformance.POINTS) + 1
 
 
-def test_metadata_that_does_not_match_is_never_served(front: Front) -> None:  # noqa: F811
+def test_metadata_that_does_not_match_is_never_served(front: Front) -> None:
     front.stands[0].hook = lambda seen: (
         response(200, b"other bytes") if seen.path.endswith(".metadata") else upstream(seen, TOP, "json")
     )
@@ -106,7 +106,7 @@
 @pytest.mark.parametrize(
     ("status", "names"), [("quarantined", 0), ("archived", 2), ("something else", 2), (None, 2)]
 )
-def test_a_quarantined_project_offers_no_file(front: Front, status: str | None, names: int) -> None:  # noqa: F811
+def test_a_quarantined_project_offers_no_file(front: Front, status: str | None, names: int) -> None:
     top = {k: v for k, v in TOP.items() if k != "project-status"}
     if status:
         top["project-status"] = {"status": status}
--- a/tests/test_degraded.py
+++ b/tests/test_degraded.py
@@ -11,18 +11,18 @@
 from hallproxy.state.copies import Copy
 from hallproxy.wire import simple
 from tests.gateway import Seen, response, until
-from tests.test_repository import DEPLOY, PROJECT, Front, front  # noqa: F401
+from tests.test_repository import DEPLOY, PROJECT, Front
 from tests.test_state import MS, SECOND, Core
 
 SHORT = DEPLOY.replace("fresh_for_ns = [10_000_000_000, 0]", "fresh_for_ns = [300_000_000, 0]")
 PATH = f"/simple/{PROJECT}/"
 
 
-def broken(front: Front) -> None:  # noqa: F811
+def broken(front: Front) -> None:
     front.stands[0].hook = lambda _: response(500)
 
 
-def kept(front: Front) -> str:  # noqa: F811
+def kept(front: Front) -> str:
     """An index asked for until it is kept; its digest."""
     for _ in range(6):
         got = front.get(PATH, Accept=simple.JSON)
@@ -30,7 +30,7 @@
     return got.fields["etag"]
 
 
-def test_a_kept_index_is_served_past_its_time_when_upstream_fails_and_marked(front: Front) -> None:  # noqa: F811
+def test_a_kept_index_is_served_past_its_time_when_upstream_fails_and_marked(front: Front) -> None:
     assert SHORT != DEPLOY
     front.start(SHORT)
     tag = kept(front)
@@ -42,7 +42,7 @@
     assert fresh.status == 200 and "cache-status" not in fresh.fields
 
 
-def test_never_one_from_before_a_purge(front: Front) -> None:  # noqa: F811
+def test_never_one_from_before_a_purge(front: Front) -> None:
     front.start(SHORT)
     kept(front)
     broken(front)
@@ -51,7 +51,7 @@
     assert front.get(PATH, Accept=simple.JSON).status == 502
 
 
-def test_none_where_the_grace_is_over_or_there_is_none(front: Front) -> None:  # noqa: F811
+def test_none_where_the_grace_is_over_or_there_is_none(front: Front) -> None:
     grace = "usable_after_ns = [3_600_000_000_000, 0]"
     assert grace in SHORT
     front.start(SHORT.replace(grace, "usable_after_ns = [0, 0]"))
@@ -60,14 +60,14 @@
     assert until(lambda: front.get(PATH, Accept=simple.JSON).status == 502)
 
 
-def test_what_upstream_says_it_lacks_is_no_failure_to_help_over(front: Front) -> None:  # noqa: F811
+def test_what_upstream_says_it_lacks_is_no_failure_to_help_over(front: Front) -> None:
     front.start(SHORT.replace("absent_ms = 1000", "absent_ms = 0"))
     kept(front)
     front.stands[0].hook = lambda _: response(404)
     assert until(lambda: front.get(PATH, Accept=simple.JSON).status == 404)
 
 
-def test_an_unknown_project_asks_upstream_no_more_until_a_purge(front: Front) -> None:  # noqa: F811
+def test_an_unknown_project_asks_upstream_no_more_until_a_purge(front: Front) -> None:
     front.start(DEPLOY.replace("absent_ms = 1000", "absent_ms = 60_000"))
     stand = front.stands[0]
     stand.hook = lambda _: response(404)
@@ -81,7 +81,7 @@
     assert front.get(PATH, Accept=simple.JSON).status == 200
 
 
-def test_an_index_past_its_time_is_renewed_by_condition(front: Front) -> None:  # noqa: F811
+def test_an_index_past_its_time_is_renewed_by_condition(front: Front) -> None:
     """And bytes come again once upstream calls it by another tag, or forgets what a condition is."""
     stand = front.stands[0]
     tags = ['W/"one"']
@@ -133,7 +133,7 @@
 
 
 @pytest.mark.parametrize("text", ["absent_ms = -1", "absent_ms = 60_001", 'absent_ms = "1"'])
-def test_a_time_out_of_range_is_one_plain_line(front: Front, text: str) -> None:  # noqa: F811
+def test_a_time_out_of_range_is_one_plain_line(front: Front, text: str) -> None:
     from hallproxy.run.config import ConfigError
     from hallproxy.run.repository_config import load
 
--- a/tests/test_pip.py
+++ b/tests/test_pip.py
@@ -13,7 +13,6 @@
 import subprocess
 import sys
 import zipfile
-from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
@@ -82,13 +81,9 @@
 
 
 @pytest.fixture
-def releases(tmp_path: Path) -> Iterator[tuple[Front, Releases]]:
-    made = Front(tmp_path)
-    made.stands[0].files = {}
-    told = Releases(made.stands[0])
-    yield made, told
-    if hasattr(made, "program"):
-        assert made.program.stop() == 0
+def releases(front: Front) -> tuple[Front, Releases]:
+    front.stands[0].files = {}
+    return front, Releases(front.stands[0])
 
 
 def test_pip_takes_the_newest_it_may_and_checks_its_digest(
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -120,9 +120,8 @@
     return "Basic " + base64.b64encode(f"{team}:{token}".encode()).decode()
 
 
-@pytest.fixture
-def front(tmp_path: Path) -> Iterator[Front]:
-    made = Front(tmp_path)
+def serving(made: Front) -> Iterator[Front]:
+    """A front for one test: after it, stopped if it was started, and its ending checked."""
     yield made
     if hasattr(made, "program"):
         assert made.program.stop() == 0
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -14,7 +14,7 @@
 from hallproxy.run.repository_config import load
 from hallproxy.wire import simple
 from tests.gateway import response, until
-from tests.test_repository import DEPLOY, PROJECT, Front, Stand, sha
+from tests.test_repository import DEPLOY, PROJECT, Front, Stand, serving, sha
 
 UPSTREAMS = ("private", "mirror", "public")
 
@@ -85,16 +85,14 @@
 
 
 def _asked(stand: Stand) -> list[str]:
-    return [seen.path for seen in stand.http.seen if not seen.path.startswith("/simple/?")]
+    return [seen.path for seen in stand.http.seen]
 
 
 @pytest.fixture
 def two(tmp_path: Path) -> Iterator[Front]:
     made = Front(tmp_path, [Stand(), Stand()])
     made.stands[1].files = {"a-1.whl": b"evil" * 750}  # the same name in public, other bytes
-    yield made
-    if hasattr(made, "program"):
-        assert made.program.stop() == 0
+    yield from serving(made)
 
 
 def test_the_first_tier_that_has_the_project_answers_alone(two: Front) -> None:
--- a/tests/test_team_fronts.py
+++ b/tests/test_team_fronts.py
@@ -19,7 +19,7 @@
 from hallproxy.run import contracts
 from hallproxy.wire import frames, simple
 from tests.gateway import ROOT, Platform, until
-from tests.test_repository import PROJECT, Front, auth, front  # noqa: F401
+from tests.test_repository import PROJECT, Front, auth
 
 TEAMS = """
 [teams.a]
@@ -147,7 +147,7 @@
     return "\n".join(lines)
 
 
-def test_repeats_networks_and_use_on_the_second_front(front: Front, tmp_path: Path) -> None:  # noqa: F811
+def test_repeats_networks_and_use_on_the_second_front(front: Front, tmp_path: Path) -> None:
     in_force(front, file_of(a="|retry_share = 0.5", b='networks = ["10.0.0.0/8"]', ops="operator = true"))
     front.start(contracts=True)
     path = f"/simple/{PROJECT}/"
@@ -189,7 +189,7 @@
     return made
 
 
-def test_a_network_that_holds_all_places_leaves_some_to_others(front: Front) -> None:  # noqa: F811
+def test_a_network_that_holds_all_places_leaves_some_to_others(front: Front) -> None:
     """Before, whoever came once 256 were open was closed without a word."""
     front.start()
     crowd = held(front.program.port, "127.0.2.1", 300)
--- a/tests/test_upstream_tls.py
+++ b/tests/test_upstream_tls.py
@@ -10,7 +10,6 @@
 import socket
 import ssl
 import time
-from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
@@ -31,38 +30,30 @@
     stand.http.listener._handle = lambda made: plain(context.wrap_socket(made, server_side=True))
 
 
-@pytest.fixture
-def tls(tmp_path: Path) -> Iterator[Front]:
-    made = Front(tmp_path)
-    yield made
-    if hasattr(made, "program"):
-        assert made.program.stop() == 0
-
-
 def _start(front: Front, trusted: trustme.CA, lines: str = "") -> None:
     trusted.cert_pem.write_to_path(str(front.path / "ca.pem"))
     told = f'tls = true\nca = "ca.pem"\n{lines}\n[settings]'
     front.start(DEPLOY.replace("[settings]", told, 1))
 
 
-def test_indexes_and_files_come_over_tls_on_kept_connections(tls: Front) -> None:
-    authority, stand = trustme.CA(), tls.stands[0]
+def test_indexes_and_files_come_over_tls_on_kept_connections(front: Front) -> None:
+    authority, stand = trustme.CA(), front.stands[0]
     _speaks_tls(stand, authority, "127.0.0.1")
-    _start(tls, authority)
+    _start(front, authority)
     for _ in range(4):
-        tls.purge()  # nothing kept: each round goes upstream
-        for name, url in tls.urls().items():
-            got = tls.get(url)
+        front.purge()  # nothing kept: each round goes upstream
+        for name, url in front.urls().items():
+            got = front.get(url)
             assert got.status == 200 and got.body == stand.files[name]
     assert len(stand.http.seen) >= 6 and stand.http.seen[0].fields["host"] == stand.http.address
     assert len(stand.http.listener.connections) < len(stand.http.seen)  # connections were used again
 
 
-def test_the_name_checked_is_the_server_name_and_it_is_the_host(tls: Front) -> None:
-    authority, stand = trustme.CA(), tls.stands[0]
+def test_the_name_checked_is_the_server_name_and_it_is_the_host(front: Front) -> None:
+    authority, stand = trustme.CA(), front.stands[0]
     _speaks_tls(stand, authority, "repository.internal")
-    _start(tls, authority, 'server_name = "repository.internal"\n')
-    assert tls.get(f"/simple/{PROJECT}/", Accept=simple.JSON).status == 200
+    _start(front, authority, 'server_name = "repository.internal"\n')
+    assert front.get(f"/simple/{PROJECT}/", Accept=simple.JSON).status == 200
     assert stand.http.seen[0].fields["host"] == "repository.internal"
 
 
@@ -71,29 +62,29 @@
     [(("127.0.0.1",), "certificate is not trusted"), (("elsewhere.internal",), "certificate is not trusted")],
 )
 def test_a_certificate_not_trusted_or_for_another_name_is_a_502_and_a_line(
-    tls: Front, names: tuple[str, ...], said: str
+    front: Front, names: tuple[str, ...], said: str
 ) -> None:
-    stand = tls.stands[0]
+    stand = front.stands[0]
     other = trustme.CA() if names == ("127.0.0.1",) else None
     trusted = trustme.CA()
     _speaks_tls(stand, other or trusted, *names)
-    _start(tls, trusted)
-    got = tls.get(f"/simple/{PROJECT}/", Accept=simple.JSON)
+    _start(front, trusted)
+    got = front.get(f"/simple/{PROJECT}/", Accept=simple.JSON)
     assert got.status == 502 and not stand.http.seen
-    until(lambda: [line for line in tls.program.lines if said in line])
+    until(lambda: [line for line in front.program.lines if said in line])
 
 
-def test_an_upstream_that_speaks_no_tls_is_a_502_and_a_line(tls: Front) -> None:
-    plain = tls.stands[0].http.listener._handle
+def test_an_upstream_that_speaks_no_tls_is_a_502_and_a_line(front: Front) -> None:
+    plain = front.stands[0].http.listener._handle
 
     def handle(made: socket.socket) -> None:
         with contextlib.suppress(UnicodeDecodeError):  # a handshake read as a request
             plain(made)
 
-    tls.stands[0].http.listener._handle = handle
-    _start(tls, trustme.CA())  # the stand speaks plain HTTP
-    assert tls.get(f"/simple/{PROJECT}/", Accept=simple.JSON).status == 502
-    until(lambda: [line for line in tls.program.lines if "TLS failed" in line])
+    front.stands[0].http.listener._handle = handle
+    _start(front, trustme.CA())  # the stand speaks plain HTTP
+    assert front.get(f"/simple/{PROJECT}/", Accept=simple.JSON).status == 502
+    until(lambda: [line for line in front.program.lines if "TLS failed" in line])
 
 
 @pytest.mark.parametrize(
@@ -139,44 +130,44 @@
     front.start(DEPLOY.replace("[[upstream]]", told, 1))
 
 
-def test_clients_are_served_over_tls_and_plain_http_is_not_answered(tls: Front) -> None:
+def test_clients_are_served_over_tls_and_plain_http_is_not_answered(front: Front) -> None:
     authority = trustme.CA()
-    _start_served(tls, authority)
-    status, body = _https(tls, authority, f"/simple/{PROJECT}/")
+    _start_served(front, authority)
+    status, body = _https(front, authority, f"/simple/{PROJECT}/")
     assert status == 200
     url = json.loads(body)["files"][0]["url"]
-    assert _https(tls, authority, url) == (200, tls.stands[0].files["a-1.whl"])
+    assert _https(front, authority, url) == (200, front.stands[0].files["a-1.whl"])
     with pytest.raises((http.client.HTTPException, OSError)):
-        tls.get(f"/simple/{PROJECT}/")
-    assert _https(tls, authority, f"/simple/{PROJECT}/")[0] == 200
+        front.get(f"/simple/{PROJECT}/")
+    assert _https(front, authority, f"/simple/{PROJECT}/")[0] == 200
 
 
 def test_a_reload_takes_a_new_certificate_for_new_connections_and_keeps_the_old_on_a_bad_one(
-    tls: Front,
+    front: Front,
 ) -> None:
     first, second = trustme.CA(), trustme.CA()
-    _start_served(tls, first)
-    (tls.path / "server.pem").write_text("not a certificate")
-    tls.program.process.send_signal(signal.SIGHUP)
-    until(lambda: any("stays as it was" in x for x in tls.program.lines))
-    assert _https(tls, first, "/simple/")[0] == 200
-    _served(tls, second)
-    tls.program.process.send_signal(signal.SIGHUP)
+    _start_served(front, first)
+    (front.path / "server.pem").write_text("not a certificate")
+    front.program.process.send_signal(signal.SIGHUP)
+    until(lambda: any("stays as it was" in x for x in front.program.lines))
+    assert _https(front, first, "/simple/")[0] == 200
+    _served(front, second)
+    front.program.process.send_signal(signal.SIGHUP)
 
     def second_holds() -> bool:
         try:
-            return _https(tls, second, "/simple/")[0] == 200
+            return _https(front, second, "/simple/")[0] == 200
         except ssl.SSLError:
             return False
 
     until(second_holds)
     with pytest.raises(ssl.SSLError):
-        _https(tls, first, "/simple/")
+        _https(front, first, "/simple/")
 
 
-def test_a_client_that_never_ends_its_handshake_is_closed(tls: Front) -> None:
-    _start_served(tls, trustme.CA())
-    with socket.create_connection(("127.0.0.1", tls.program.port), timeout=15) as made:
+def test_a_client_that_never_ends_its_handshake_is_closed(front: Front) -> None:
+    _start_served(front, trustme.CA())
+    with socket.create_connection(("127.0.0.1", front.program.port), timeout=15) as made:
         made.sendall(b"\x16\x03\x01")  # the start of a record, and then nothing
         began = time.monotonic()
         assert made.recv(100) == b""
--- a/tests/test_upstream_ways.py
+++ b/tests/test_upstream_ways.py
@@ -5,7 +5,6 @@
 import base64
 import json
 import re
-from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
@@ -76,14 +75,6 @@
     assert listing.project == ""
 
 
-@pytest.fixture
-def guarded(tmp_path: Path) -> Iterator[Front]:
-    made = Front(tmp_path)
-    yield made
-    if hasattr(made, "program"):
-        assert made.program.stop() == 0
-
-
 def _guarded(stand: Stand, prefix: str) -> None:
     """The stand answers only under ``prefix``, only to the right credentials, with relative links."""
 
@@ -116,9 +107,8 @@
 
 
 def test_an_upstream_under_a_prefix_and_behind_credentials_is_served(
-    guarded: Front, monkeypatch: pytest.MonkeyPatch
+    front: Front, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    front = guarded
     stand = front.stands[0]
     _guarded(stand, "/pypi")
     _start(front, monkeypatch, SECRET)
@@ -131,9 +121,8 @@
 
 
 def test_credentials_that_are_refused_are_an_error_and_never_told(
-    guarded: Front, monkeypatch: pytest.MonkeyPatch
+    front: Front, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    front = guarded
     _guarded(front.stands[0], "/pypi")
     _start(front, monkeypatch, "stations:wrong")
     got = front.get(f"/simple/{PROJECT}/", Accept=simple.JSON)
