Routes: patterns kept only as filed by beginning; a list's walk ends past the best

Cause: reading the change again: Routes kept its sorted patterns and a count of rules that nothing read, the inner walk went on through entries known to rank below the best, and the front's accept named a local "plain", the name of its answer function. Change: the patterns are a local while the table is built; the walk of one list stops at the first entry no better than the best found; accept names the context it took.

--- a/hallproxy/routes/rules.py
+++ b/hallproxy/routes/rules.py
@@ -84,7 +84,7 @@
         known = set(upstreams)
         self.default = Route((Tier(tuple(upstreams), 0),), -1)
         self._pins: dict[str, Route] = {}
-        self._patterns: list[tuple[int, int, str, Route]] = []  # fixed characters (negated), place, pattern
+        patterns: list[tuple[int, int, str, Route]] = []  # fixed characters (negated), place, pattern
         for place, rule in enumerate(rules):
             if not rule.projects or not rule.tiers or not all(rule.tiers):
                 raise RouteError(f"route {place + 1} names no project, or a tier with no upstream")
@@ -96,7 +96,7 @@
             route = Route(tuple(self._tier(t, upstreams) for t in rule.tiers), place)
             for pattern in rule.projects:
                 if WILD.search(pattern):
-                    self._patterns.append((-_fixed(pattern), place, pattern, route))
+                    patterns.append((-_fixed(pattern), place, pattern, route))
                 elif pattern in self._pins:
                     raise RouteError(f"route {place + 1} pins {pattern!r}, which another rule pins")
                 else:
@@ -104,10 +104,9 @@
         # Patterns by what comes before their first wildcard: a name is matched only against those whose
         # beginning it shares, not walked past thousands (0.5 ms a name with 5,000 patterns).
         self._by_start: dict[str, list[tuple[int, int, str, Route]]] = {}
-        for found in sorted(self._patterns, key=lambda found: found[:2]):
+        for found in sorted(patterns, key=lambda found: found[:2]):
             self._by_start.setdefault(WILD.split(found[2], 1)[0], []).append(found)
         self._known: LRUCache[str, Route] = LRUCache(KNOWN_MOST)
-        self.rules = len(rules)
 
     @staticmethod
     def _tier(upstreams: tuple[str, ...], every: tuple[str, ...]) -> Tier:
@@ -124,9 +123,11 @@
         best: tuple[int, int, str, Route] | None = None
         for end in range(len(project) + 1):
             for found in self._by_start.get(project[:end], ()):
-                if (best is None or found[:2] < best[:2]) and fnmatchcase(project, found[2]):
+                if best is not None and found[:2] >= best[:2]:
+                    break  # each list is in order: the rest of it comes after the best found
+                if fnmatchcase(project, found[2]):
                     best = found
-                    break  # the rest of this list comes after it
+                    break
         route = self.default if best is None else best[3]
         self._known[project] = route
         return route
--- a/hallproxy/run/repository.py
+++ b/hallproxy/run/repository.py
@@ -154,15 +154,15 @@
     def accept(self, sock: socket.socket, peer: tuple[str, int]) -> None:
         """Take a connection if there is a place and time for it; else it is told when to come back."""
         address, now = peer[0], self.loop.now()
-        network, plain = neighbourhood(address), self.tls is None
+        network, tls = neighbourhood(address), self.tls
         if not self.places.connect(network, now):
             if not self._make_room(network) or not self.places.connect(network, now):
-                return self.turn_away.take(sock, plain)
+                return self.turn_away.take(sock, tls is None)
         if not self.places.request(network, now):  # a connection is opened to ask
             self.places.leave(network)
-            return self.turn_away.take(sock, plain)
+            return self.turn_away.take(sock, tls is None)
         try:
-            made = stream(sock) if self.tls is None else tls_accepted(sock, self.tls)
+            made = stream(sock) if tls is None else tls_accepted(sock, tls)
         except (OSError, ValueError):
             self.places.leave(network)
             return sock.close()
