A restarted gateway listens once the change log has told what its file lacks

`known` may be seconds old, and the program listened before its first poll was answered: requests waiting at the port were read ahead of the answer.

At fault: run/main.py bound its port first and started the poll behind it. Now the first poll asks with a wait of 0 and the port opens when it is answered, or after 2 s, in which a broken log's news counts as told anyway.

--- a/hallproxy/run/changelog.py
+++ b/hallproxy/run/changelog.py
@@ -18,6 +18,7 @@
 CONNECT_IN = 1.0  # s
 ANSWER_IN = 0.25  # s past the wait that was asked for after which a poll has failed
 PAUSE = 0.05  # s at least from one connect to the next
+CURRENT_IN = 2.0  # s for a first answer; what a broken log would have told counts as told so long after
 PAGE_MOST = 16 * 1024 * 1024
 
 
@@ -31,6 +32,19 @@
         self._loop, self._where, self._since = loop, where, since
         self._gap = -1  # the number before a gap that the log was asked about once
         self._made: Stream | None = None
+        self._current = asyncio.Event()  # the log has answered once
+
+    async def current(self) -> None:
+        """Wait until the log has told all that is newer than ``known``, or has had its time for that.
+
+        Guards a gateway killed and started again: ``known`` may lack what the log told long before, and
+        a request sent in the meantime could go to a server announced as leaving.
+        """
+        try:
+            await asyncio.wait_for(self._current.wait(), CURRENT_IN)
+        except TimeoutError:
+            self._current.set()
+            say(f"change log: no answer in {CURRENT_IN:g} s, beginning with what the configuration knows")
 
     def move(self, where: Address, known: dict[str, Any]) -> None:
         """Follow the log at its new address from now on: the numbers go on, and so does what is held.
@@ -68,8 +82,9 @@
 
     async def _poll(self, made: Stream, buffer: Buffer) -> bool:
         asked = self._loop.now()
-        made.gather([poll_head(self._since, min(WAIT, WAIT_MOST), f"{self._where[0]}:{self._where[1]}")])
-        limit = WAIT / 1000 + ANSWER_IN
+        wait = min(WAIT, WAIT_MOST) if self._current.is_set() else 0  # the first one only asks what is new
+        made.gather([poll_head(self._since, wait, f"{self._where[0]}:{self._where[1]}")])
+        limit = wait / 1000 + ANSWER_IN if wait else CONNECT_IN
         head, body = await asyncio.wait_for(_page(made, buffer), limit)
         if head.status != 200:
             raise ChangeError(f"answer {head.status}")
@@ -80,6 +95,7 @@
             raise
         # An answer that brings news may have been put together when it was asked for.
         self._loop.bring(NewsHeard(asked))
+        self._current.set()
         return head.keeps
 
     def _take(self, page: dict[str, Any], gaps: bool) -> None:
--- a/hallproxy/run/main.py
+++ b/hallproxy/run/main.py
@@ -76,6 +76,11 @@
     if teams is not None:
         clients.teams = platform_teams.load(teams, names)
         loop.bring(ContractsTold(loop.now(), clients.teams.contracts))
+    poller, tasks = None, []
+    if config.changelog is not None:
+        poller = Poller(loop, config.changelog, since)
+        tasks.append(asyncio.ensure_future(poller.run()))
+        await poller.current()
     host, port = config.listen
     listeners = bind_sockets(port, host, backlog=512)
     stops: list[Callable[[], None]] = [add_accept_handler(sock, clients.accept) for sock in listeners]
@@ -86,10 +91,6 @@
         for sock in listeners:
             sock.close()
 
-    poller, tasks = None, []
-    if config.changelog is not None:
-        poller = Poller(loop, config.changelog, since)
-        tasks.append(asyncio.ensure_future(poller.run()))
     gc.collect()
     gc.freeze()
     say(f"{config.name} listens on {host}:{listeners[0].getsockname()[1]}")
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -169,10 +169,10 @@
         return seq in self.polled
 
     def _answer(self, seen: Seen) -> bytes:
-        since = int(seen.path.split("since=")[1].split("&")[0])
+        since, wait = (int(x.split("=")[1]) for x in seen.path.split("?")[1].split("&"))
         with self._more:
             self.polled.append(since)
-            self._more.wait_for(lambda: len(self.events) > since, 1.0)
+            self._more.wait_for(lambda: len(self.events) > since, wait / 1000)
             return response(200, json.dumps(self.page(since)).encode())
 
 
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -129,3 +129,35 @@
     seen = polls(lambda place, since: None, platform)
     until(lambda: len(seen) > 1)
     assert 0.9 < seen[1][1] - seen[0][1] < 1.9
+
+
+def test_a_restarted_gateway_takes_nothing_before_it_has_heard_what_its_file_lacks(tmp_path: Path) -> None:
+    """The file was written before a server was announced as leaving; the log's word comes late."""
+    platform = Platform(tmp_path)
+    asked = threading.Event()
+
+    def cache(seen: Any) -> bytes | None:
+        asked.set()
+        return ok()(seen)
+
+    def answer(_: Any) -> bytes:
+        asked.wait(0.3)  # no request may end this wait
+        return page({"seq": 2, "fleet": gone(platform, 0)})
+
+    platform.all_reply(cache)
+    platform.start(changelog=Http(answer).address)
+    client = platform.client()
+    for row in range(1, 9):
+        client.ask(row=row)
+        assert client.answer()[0] == SERVED
+    assert not platform.caches[0].seen and len(platform.caches[1].seen) == 8
+    assert platform.program.stop() == 0
+
+
+def test_a_gateway_starts_with_what_it_knows_where_the_log_stays_silent(tmp_path: Path) -> None:
+    platform = Platform(tmp_path).start(changelog=Http(lambda _: None).address)
+    client = platform.client()
+    client.ask()
+    assert client.answer()[0] == SERVED
+    assert any("beginning with what the configuration knows" in x for x in platform.program.lines)
+    assert platform.program.stop() == 0
