Further attempts keep their parent; a parent's first-byte time starts from the average

At fault, logic.py: `_outcome` left the parent among `entry.sources` whatever had happened, so each further attempt made another parent fetch the part from the origin; `_judge` took a parent's first answer for its first-byte time whole.

The origin's stop itself is still open.

--- a/hallproxy/logic.py
+++ b/hallproxy/logic.py
@@ -452,13 +452,14 @@
         self._judge(event, cache, source)
         if stuck is None or status is not i.Status.TIMEOUT:
             self._size_room(entry, event)
-        if status not in NEVER_RAN and entry.maybe_ran is None:
-            entry.maybe_ran = (cache.member, sent_at)
+        entry.maybe_ran = entry.maybe_ran or (None if status in NEVER_RAN else (cache.member, sent_at))
         if event.closed or entry.done:
             self._end(event.request)
             return
         if status is i.Status.OK or entry.out:
             return  # an open answer's end: the bench closes it; or the other attempt may still serve it
+        if status in (i.Status.FULL, i.Status.CONNECT_FAILED, i.Status.RESET):
+            entry.sources.remove(source)  # it may hold the part: another would fetch it from the origin anew
         if (status is i.Status.MISS and entry.lookup) or (status is i.Status.FULL and self._full(entry)):
             entry.tried.remove(cache)  # a cache that is full is asked again: it may hold a copy
             if self._full(entry) or not self._attempt(entry):
@@ -469,7 +470,6 @@
             # has or is getting the part, another would fill it anew. Harms by one connect where it has died.
             entry.reset = True
             entry.tried.remove(cache)
-            entry.sources.remove(source)
         if entry.errors < ERRORS_MOST and self.retries >= 1.0 and self._attempt(entry):
             self.retries -= 1.0
         else:
@@ -499,8 +499,8 @@
             if filled or self.s.tells is i.Tells.NONE:
                 self._mark(source, 0.0)
                 source.answered = self.now
-                heard = event.waited or event.latency
-                source.first_byte += (SMOOTH if source.first_byte else 1.0) * (heard - source.first_byte)
+                source.first_byte = source.first_byte or self._distance() * SECOND  # one time is chance
+                source.first_byte += SMOOTH * ((event.waited or event.latency) - source.first_byte)
             return
         if status in (i.Status.CONNECT_FAILED, i.Status.RESET):  # says nothing of the source
             return self._mark(cache, 1.0, RESET_SMOOTH if status is i.Status.RESET else DEAD_SMOOTH)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -93,6 +93,45 @@
     assert len(used) == len(CACHES)
 
 
+@pytest.mark.parametrize("status", [Status.FULL, Status.CONNECT_FAILED, Status.RESET])
+def test_a_further_attempt_fills_from_the_same_parent_unless_that_failed(status: Status) -> None:
+    """Another parent would fetch the part from the origin anew: in a fleet that stopped the origin."""
+    for obj in range(1, 9):
+        d = Driver()
+        ident = d.ask(obj=obj)
+        d.end(ident, status)
+        first, second = d.sent[ident]
+        assert second.source == first.source
+        d.end(ident)
+
+
+def test_routers_that_heard_one_time_of_each_parent_agree_on_an_object_s_parent() -> None:
+    """First times differ by chance and size; taken for the parents' own, each router shunned another one."""
+    chosen = []
+    for long in (b"near0", b"near1"):
+        d = Driver()
+        heard: set[bytes] = set()
+        for obj in range(1, 40):
+            ident = d.ask(obj=obj)
+            source = d.sent[ident][0].source
+            if len(heard) < 2 and source in heard:
+                continue  # left open: one time of each
+            heard.add(source)
+            d.end(ident, latency=(500 if source == long else 60) * MS)
+            if len(heard) == 2:
+                break
+        chosen.append([d.sent[d.ask(obj=obj)][0].source for obj in range(100, 120)])
+    assert chosen[0] == chosen[1]
+
+
+def test_a_further_attempt_after_an_error_tries_another_parent() -> None:
+    d = Driver()
+    ident = d.ask()
+    d.end(ident, Status.ERROR)
+    first, second = d.sent[ident]
+    assert second.source != first.source and second.server != first.server
+
+
 def test_sources_are_near_parents_then_the_next_hub_then_the_origin() -> None:
     def used(fleet: list[Member]) -> set[bytes]:
         d = Driver(fleet=fleet)
