--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -145,6 +145,12 @@
     return lambda _: response(status, b"", **fields)
 
 
+def polled(seen: Seen) -> tuple[int, int]:
+    """What a poll of the change log asks: the number it holds, and how long (ms) it waits."""
+    since, wait = (int(x.split("=")[1]) for x in seen.path.split("?")[1].split("&"))
+    return since, wait
+
+
 class ChangeLog:
     """Numbered events, told to whoever asks for later ones."""
 
@@ -169,7 +175,7 @@
         return seq in self.polled
 
     def _answer(self, seen: Seen) -> bytes:
-        since, wait = (int(x.split("=")[1]) for x in seen.path.split("?")[1].split("&"))
+        since, wait = polled(seen)
         with self._more:
             self.polled.append(since)
             self._more.wait_for(lambda: len(self.events) > since, wait / 1000)
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -13,7 +13,7 @@
 import pytest
 
 from hallproxy.wire import frames
-from tests.gateway import ChangeLog, Http, Platform, Program, member, now_ms, ok, response, until
+from tests.gateway import ChangeLog, Http, Platform, Program, member, now_ms, ok, polled, response, until
 
 SERVED = frames.SERVED
 
@@ -100,7 +100,7 @@
     seen: list[tuple[int, float]] = []
 
     def answer(asked: Any) -> bytes | None:
-        since = int(asked.path.split("since=")[1].split("&")[0])
+        since, _ = polled(asked)
         seen.append((since, time.monotonic()))
         return reply(len(seen), since)
 
