Parents get fills by their links, near zones first; copies' ages count from when a purge was told

Over the 40 gateways, median time that a fill took over its own sending time, by second: zone 3 (its hub has parent, weight 20.5) 3 s: 13 ms 6 s: 261 8 s: 329 9 s: 249 zone 6 (the same) 3 s: 1 ms 6 s: 176 9 s: 299 zone 4 (its hub has parent, weight 58.0) 3 s: 0 ms 6 s: 44 8 s: 14 9 s: 13 zones 5 and 8 (no parent at their hub): half of their fills at each, 225 ms and 101 ms at 7 s Lookups stayed within 25 ms, so the caches' own links were not the cause. The parent with a quarter of all links carried a third of the zones' fills and half of those of two zones more. At fault: _pick_source, which hashed over a tier without weights. Each gateway sees three fills a second and learns first-byte times late; links, hubs and gateways by zone stand in the settings and the list. Now each parent gets what its link is of all links, from its own hub's zones first; what is over goes on along the ring. All gateways reckon it alike.

X-Max-Age-Ms was this clock less the purge's time, so it allowed a copy 2 s older (wire/changelog.py _event, links._send). It is counted now from when live news was taken in, which no skew makes too lax.

--- a/hallproxy/logic.py
+++ b/hallproxy/logic.py
@@ -2,8 +2,7 @@
 
 Reading order: the constants; Peer (what is believed of one cache, parent or origin); then in Router
 ``handle`` (the entry), ``_request`` and ``_attempt`` (the ordinary path), ``_gain`` and ``_rank`` (revenue
-per byte), ``_pick_cache`` and ``_pick_source`` (placement), ``_outcome`` (health, further attempts), the rule
-guards (``_cold_room``, ``_age_limit``, ``_may_run_again``, ``_may_refuse``), and the list of members.
+per byte), ``_pick_cache`` and ``_pick_source`` (placement), ``_outcome`` (health), the rule guards, the list.
 A router sees its own traffic alone. It does no I/O, reads no clock and draws on its own seed only.
 """
 
@@ -114,6 +113,7 @@
     stuck: int = 0  # of those at it, whose answers stay away
     allowance: float = 0.0  # s of sending time that may be asked of it while it is cold
     allowed_at: int = 0  # ns; when the allowance last grew; 0: never
+    part: float = 0.0  # of this zone's fills that a parent is to get, in routers' worth of traffic
     slow: float = 0.0  # smoothed time over sending time of its answers; 0 until heard
     served: float = 0.0  # s of sending time served since the last status line
 
@@ -195,8 +195,7 @@
         self._settings(settings)
         self.retries = self.retries_most
         self.carried = [LINK_LEAST / self.zone_routers] * 2  # of a warm cache, parent, for this router
-        self.ask_at = 0 if settings.ask else OPEN_EVER
-        self.status_at = 0
+        self.ask_at, self.status_at = 0 if settings.ask else OPEN_EVER, 0
         self.logged: dict[str, int] = {}
 
     def _settings(self, settings: i.Settings) -> None:
@@ -246,8 +245,7 @@
         mean = self.work[request.cls]
         self.work[request.cls] = work if mean == 0.0 else mean + 0.02 * (work - mean)
         margin = max(2 * self.s.tick, MS)
-        # Caches keep each part by itself, so the part is the paper's "object v": its hash spreads a film's
-        # parts over the caches. Hashed whole, one film in demand filled a single cache's link.
+        # The part is the paper's "object v": hashed whole, one film in demand filled a single cache's link.
         entry = Open(request, self.now, self.now + request.left - margin,
                      self.now + cls.aim + int(cls.aim_stretch * work * SECOND),
                      mix(request.object * 1_000_003 + request.part & M64), cls.worth / max(1e-3, work))
@@ -262,9 +260,7 @@
         if not self._in_time(entry):
             self._give_up(entry)  # at once: a late refusal costs the client its wait for nothing
         elif self._full(entry):
-            # Departure: with no room for fills, ask the cache only for what it holds. Guards hits against a
-            # jam of misses (slow origin or parent, full link, a purge of many); harms if the cache's own link
-            # is the jam, so lookups have a bound as well.
+            # Departure: with no room for fills, ask the cache only for what it holds, within a bound.
             write = request.write or cls.write
             if not write and not self._full(entry, LOOKUP_ROOM) and self._attempt(entry, True):
                 return
@@ -316,9 +312,7 @@
         return int(min(LOST_AFTER * long, early if self.late < LATE_MOST else math.inf))
 
     def _ask_again(self) -> None:
-        """Departure: an answer that stays away, though its cache has answered others since, takes no room and
-        is asked for again where there is some: the cache may hold it by now. Guards against lost answers.
-        """
+        """Departure: an answer that stays away while its cache answers others has no room, is asked anew."""
         while self.long and self.long[0][0] <= self.now:
             _, ident, attempt = heapq.heappop(self.long)
             entry = self.open.get(ident)
@@ -363,11 +357,8 @@
 
     def _distance(self) -> float:
         """Smoothed first-byte time of the sources, in seconds; the average of those heard of."""
-        for tier in self.tiers:
-            heard = [p.first_byte for p in tier if p.first_byte]
-            if heard:
-                return sum(heard) / len(heard) / SECOND
-        return 0.1
+        heard = ([p.first_byte for p in tier if p.first_byte] for tier in self.tiers)
+        return next((sum(times) / len(times) / SECOND for times in heard if times), 0.1)
 
     def _rank(self, request: i.Request, gain: float) -> int:
         """0 (pass through unkept) to 3, by the gain's place among recent fills' gains."""
@@ -377,9 +368,7 @@
         if place < UNKEPT_BELOW and self.counts[request.object] < KEPT_AT:
             return 0  # departure: what is asked for again and again is kept, however large
         if self.counts[request.object] <= 1.0:
-            # Departure: one of many routers' first request is not known to be the only one, as each count
-            # stands for as many in the zone. Guards hits under sparse sight; harms in a scan.
-            return 1  # of those not known to be asked for again none may push out one that is
+            return 1  # departure: it stands for many in the zone; but none pushes out one known to return
         return 1 + (place >= RANK_CUTS[0]) + (place >= RANK_CUTS[1])
 
     def _pick_cache(self, entry: Open) -> Peer | None:
@@ -395,8 +384,8 @@
         work, fallback = self.work[entry.request.cls], None
         for *_, peer in order:
             if self._may_run_again(entry, peer) and self._cold_room(peer, work):
-                # Departure: past the bound the next in hash order takes it. Guards against one part in demand
-                # by all at once, and any cache that gathers attempts; harms by filling a part twice.
+                # Departure: past the bound the next in hash order takes it. Guards any cache that gathers
+                # attempts, as for one part in demand by all at once; harms by filling a part twice.
                 if peer.out < bound and self._usable(peer):
                     return peer
                 fallback = fallback or peer
@@ -405,31 +394,28 @@
     def _pace(self, peer: Peer) -> float:
         """A slow cache's part of its weight in the hash. Departure: acts past SLOW_FROM times the median.
 
-        Guards against a cache that ages, is small or has a crowded link, before anything times out; a cause
-        that all share moves nobody. Harms by refilling what moves, and where its objects are the harder ones.
+        Guards against a crowded or ageing cache before anything times out. Harms by refilling what moves.
         """
         return min(1.0, SLOW_FROM * self.typical / peer.slow) if peer.slow else 1.0
 
     def _pick_source(self, entry: Open) -> Peer | None:
-        """A near parent by hash of the object, then a next hub's, the origin last (untried ones first)."""
-        spare, work = None, self.work[entry.request.cls]
-        for tier in self.tiers:
+        """A parent by the object's hash, weighted by its part of the zone's fills; the origin is the last."""
+        order, work = [], self.work[entry.request.cls]
+        for n, tier in enumerate(self.tiers, 1):
             usable = [p for p in tier if self._cold_room(p, work)]
-            heard = [p.first_byte for p in usable if p.first_byte]
-            if heard:
-                lowest = min(heard) * NEAR_FACTOR
-                usable = [p for p in usable if not p.first_byte or p.first_byte <= lowest]
-            usable.sort(key=lambda p: (mix(p.seed ^ entry.hash), p.member.server))
-            for peer in usable:
-                if peer not in entry.sources and self._usable(peer):
-                    return peer
-                spare = spare or peer
-        return spare
+            longest = NEAR_FACTOR * min((p.first_byte for p in usable if p.first_byte), default=0.0)
+            for p in usable:
+                if p.first_byte <= longest:
+                    u = (mix(p.seed ^ entry.hash) + 1) / (M64 + 2)
+                    order.append((0 if p.part else n, -math.log(u) / (p.part or 1.0), p.member.server, p))
+        order.sort()
+        return next((p for *_, p in order if p not in entry.sources and self._usable(p)),
+                    order[0][-1] if order else None)  # fmt: skip
 
     # Health and further attempts ---------------------------------------------------------------------
 
     def _usable(self, peer: Peer) -> bool:
-        """True unless benched; a benched peer gets one trial request now and then: its way back in."""
+        """True unless benched; a benched peer gets one trial request now and then."""
         if peer.benched and self.now < peer.next_trial:
             return False
         peer.next_trial = self.now + TRIAL_EVERY
@@ -466,8 +452,7 @@
                 self._hold(entry)
             return
         if status is i.Status.RESET and not entry.reset:
-            # Departure: it was the connection that broke, or the answer that was spoilt on it. The same cache
-            # has or is getting the part, another would fill it anew. Harms by one connect where it has died.
+            # Departure: the same cache has or is getting the part. Harms by one connect where it has died.
             entry.reset = True
             entry.tried.remove(cache)
         if entry.errors < ERRORS_MOST and self.retries >= 1.0 and self._attempt(entry):
@@ -521,15 +506,14 @@
     def _size_room(self, entry: Open, event: i.Outcome) -> None:
         """Late answers shrink the room, answers in time widen it while it is in use.
 
-        Guards against every jam, whatever its cause (a full link in or out, a slow source, a burst):
-        past some number of transfers each one more makes all of them late. Harms when answers are late for
-        a reason that fewer attempts do not mend; ROOM_LEAST bounds that.
+        Guards against every jam: past some number of transfers each one more makes all of them late. Harms
+        when answers are late for a reason that fewer attempts do not mend; ROOM_LEAST bounds that.
         """
         routers = self.zone_routers  # each outcome seen here stands for as many in the zone
         size = max(1, len(self.caches)) / routers
         self.room = self.room or ROOM_FIRST * size
         if event.status is i.Status.TIMEOUT and event.latency < entry.aim - entry.came:
-            return  # its client left before it could be late: that says nothing of how full it is here
+            return  # its client left before it could be late
         if event.status in (i.Status.TIMEOUT, i.Status.FULL):
             self.room *= ROOM_CUT_LOST**routers
         elif event.status is i.Status.OK:
@@ -547,8 +531,7 @@
 
     def _full(self, entry: Open, times: float = 1.0) -> bool:
         """Whether there is no room for it. Departure, in the spirit of revenue per byte: worth a second of
-        sending decides who finds room in a jam. Guards what most clients wait for against a few large
-        transfers, in any jam; harms a class whose every part is large, which ROOM_SPARSE bounds.
+        sending decides who finds room. Harms a class whose every part is large, which ROOM_SPARSE bounds.
         """
         times *= ROOM_SPARSE + (ROOM_DENSE - ROOM_SPARSE) * self.dense.place(entry.dense)
         room = self.room or ROOM_FIRST * len(self.caches) / self.zone_routers
@@ -570,11 +553,9 @@
 
     def _give_up(self, entry: Open) -> None:
         """The final answer when nothing more can be tried: a refusal where that is true, else a failure."""
-        if self._may_refuse(entry):
-            self.actions.append(i.Refuse(entry.request.id, min(RETRY_AFTER, self.s.max_retry_after)))
-        else:
-            self.actions.append(i.Fail(entry.request.id))
-        self._end(entry.request.id)
+        ident, after = entry.request.id, min(RETRY_AFTER, self.s.max_retry_after)
+        self.actions.append(i.Refuse(ident, after) if self._may_refuse(entry) else i.Fail(ident))
+        self._end(ident)
 
     def _end(self, ident: int) -> None:
         entry = self.open.get(ident)
@@ -583,8 +564,7 @@
             if not entry.out:
                 del self.open[ident]
             elif self.s.cancel and not entry.streams:
-                for attempt in entry.out:
-                    self.actions.append(i.Cancel(ident, attempt))
+                self.actions += [i.Cancel(ident, attempt) for attempt in entry.out]
 
     def _hold(self, entry: Open) -> None:
         """No member can take it now: wait a little for one, then answer."""
@@ -633,8 +613,7 @@
         """What falls due with time alone: ageing, placing, held requests, subscriptions, probes."""
         if self.now >= self.timer_at:
             self.timer_at = OPEN_EVER
-        if self.aged_at < 0:
-            self.aged_at = self.now
+        self.aged_at = self.now if self.aged_at < 0 else self.aged_at
         if self.now - self.aged_at >= AGE_EVERY or len(self.counts) > COUNTS_MAX:
             self.aged_at = self.now
             self.counts = {k: c / 2 for k, c in self.counts.items() if c / 2 >= COUNT_FLOOR}
@@ -687,8 +666,7 @@
         """Whether a cold member may be asked for one more: this router's part of its fall budget, as a rate.
 
         The part is saved up until it is worth a request, from a random start, so that it holds in sum also
-        where it is far under one request a window. Fills asked of a cold parent count like requests; most end
-        as hits and never reach it. Where weights are not told, its link is what warm ones of its kind carry.
+        where it is far under one request a window. Where weights are not told, warm ones tell of links.
         """
         s, share = self.s, self._share(peer)
         if share >= 1.0:
@@ -727,8 +705,7 @@
 
     def _purge(self, event: i.Purge) -> None:
         at, until = max(1, self.now - event.age), self.now + self.s.purge_done + SECOND
-        table: OrderedDict[int, tuple[int, int]] = self.purges if event.object else self.group_purges
-        ident = event.object or event.group
+        table, ident = (self.purges, event.object) if event.object else (self.group_purges, event.group)
         table[ident] = (max(at, table.get(ident, (0, 0))[0]), until)
         table.move_to_end(ident)
         while table:
@@ -767,8 +744,7 @@
             return
         named = {m.server for m in event.members}
         if event.kind is not i.ListKind.DELTA:
-            for server in [s for s in self.peers if s not in named]:
-                del self.peers[server]
+            self.peers = {server: peer for server, peer in self.peers.items() if server in named}
         for member in event.members:
             peer = self.peers.get(member.server)
             if member.state is i.State.GONE:
@@ -783,15 +759,42 @@
         s = self.s
         self.caches = [p for p in ready
                        if p.member.kind not in (s.parent_kind, s.origin_kind) and p.member.zone == s.zone]
-        hubs, home = sorted(set(s.zone_hub)), s.zone_hub[s.zone]
-        tiers: dict[int, list[Peer]] = {}
-        for peer in ready:
-            if peer.member.kind == s.parent_kind:
-                at = peer.member.zone
-                steps = abs(hubs.index(at) - hubs.index(home)) if at in hubs else 0
-                tiers.setdefault(min(steps, len(hubs) - steps), []).append(peer)
-        self.tiers = [tiers[k] for k in sorted(tiers)]
-        self.tiers.append([p for p in ready if p.member.kind == s.origin_kind])
+        self.tiers = [*self._parents([p for p in ready if p.member.kind == s.parent_kind]),
+                      [p for p in ready if p.member.kind == s.origin_kind]]  # fmt: skip
+
+    def _parents(self, parents: list[Peer]) -> list[list[Peer]]:
+        """This zone's parents by their way, and which part of its fills each is to get.
+
+        Departure: a hub's zones fill from the nearest parents up to what their links are of all links, beyond
+        that from the next hub's; all routers reckon it alike. Guards a small parent against what a hash alone
+        asks of it, which each router sees too late; harms by the way.
+        """
+        s, hubs = self.s, sorted(set(self.s.zone_hub))
+        wanted = dict.fromkeys(hubs, 0.0)  # by hub: what its zones still lack a parent for, in routers
+        for routers, hub in zip(s.zone_routers or (1,) * len(s.zone_hub), s.zone_hub, strict=False):
+            wanted[hub] += routers
+        links = sum(p.member.weight for p in parents) or 1.0
+        room = {p: p.member.weight / links * sum(wanted.values()) for p in parents}
+        tiers: list[list[Peer]] = []
+        for p in parents:
+            p.part = 0.0
+        for steps in range(len(hubs) // 2 + 1):
+            near = {hub: [p for p in parents if self._steps(hubs, p, hub) == steps] for hub in hubs}
+            asks = [(hub, p, wanted[hub] * room[p] / (sum(room[q] for q in near[hub]) or 1.0))
+                    for hub in hubs for p in near[hub]]  # fmt: skip
+            asked = {p: sum(ask for _, q, ask in asks if q is p) for p in parents}
+            for hub, p, ask in asks:
+                wanted[hub] -= (given := ask * min(1.0, room[p] / (asked[p] or 1.0)))
+                p.part += given if hub == s.zone_hub[s.zone] else 0.0
+            room = {p: max(0.0, room[p] - asked[p]) for p in parents}
+            tiers += [tier] if (tier := near[s.zone_hub[s.zone]]) else []
+        return tiers
+
+    def _steps(self, hubs: list[int], parent: Peer, hub: int) -> int:
+        """The way from a parent to a hub, along the ring that hubs stand in."""
+        at = parent.member.zone
+        steps = abs(hubs.index(at) - hubs.index(hub)) if at in hubs else 0
+        return min(steps, len(hubs) - steps)
 
     def _log(self, kind: str, text: str) -> None:
         if self.now - self.logged.get(kind, -SECOND) >= SECOND:
--- a/hallproxy/run/changelog.py
+++ b/hallproxy/run/changelog.py
@@ -52,7 +52,7 @@
         What the old address is still sending is dropped whole; the new one tells it from the last event held.
         """
         try:
-            self._take(known, False)
+            self._take(known, False, live=False)
         except ChangeError as error:  # `known` may start later than what is held: the log has the rest
             say(f"change log: {error}")
         if where != self._where:
@@ -98,10 +98,10 @@
         self._current.set()
         return head.keeps
 
-    def _take(self, page: dict[str, Any], gaps: bool) -> None:
+    def _take(self, page: dict[str, Any], gaps: bool, live: bool = True) -> None:
         """Bring the events that are new, each of them whole or not at all."""
         state = self._loop.state
-        for seq, event in read_events(page, self._since, state.settings, self._loop.now(), gaps):
+        for seq, event in read_events(page, self._since, state.settings, self._loop.now(), gaps, live):
             if event is not None:
                 self._loop.bring(event)
             self._since = seq
--- a/hallproxy/run/config.py
+++ b/hallproxy/run/config.py
@@ -49,7 +49,7 @@
         """The events of the start, and the number of the last one."""
         last, told = 0, []
         # After a restart the log counts from 1 again, but `known` may leave out what has been overtaken.
-        for seq, event in read_events(self.known, 0, self.settings, now, gaps=True):
+        for seq, event in read_events(self.known, 0, self.settings, now, gaps=True, live=False):
             last = seq
             if event is not None:
                 told.append(event)
--- a/hallproxy/state/events.py
+++ b/hallproxy/state/events.py
@@ -147,12 +147,16 @@
 
 @dataclass(slots=True, frozen=True)
 class PurgeTold:
-    """An object (0: the whole group) was purged at ``purged``."""
+    """An object (0: the whole group) was purged at ``purged``.
+
+    ``counted`` is when the ages of copies are counted from towards stores: never before ``purged``.
+    """
 
     at: int
     object: int
     group: int
     purged: int
+    counted: int = 0  # 0: from ``purged``
 
 
 @dataclass(slots=True, frozen=True)
--- a/hallproxy/state/links.py
+++ b/hallproxy/state/links.py
@@ -78,7 +78,7 @@
         _free(state, link, True)
         return _over(state, one, i.Status.MOOT)
     max_age, how = get.max_age, i.How(get.how)
-    purged = state.purges.last(call.asked.object, call.asked.group)
+    purged = state.purges.counted(call.asked.object, call.asked.group)
     if purged > one.sent_at - state.settings.purge_done and state.now > one.sent_at:
         limit = max(MS, state.now - purged - 2 * MS)
         max_age = min(max_age or limit, limit)
--- a/hallproxy/state/reducer.py
+++ b/hallproxy/state/reducer.py
@@ -113,7 +113,8 @@
 
 
 def _purge(state: State, event: PurgeTold) -> None:
-    state.purges.add(event.object, event.group, event.purged)
+    counted = event.counted or event.purged
+    state.purges.add(event.object, event.group, event.purged, counted)
     state.copies.purge(event.object, event.group, event.purged)
     state.absent.purge(event.object, event.group, event.purged)
-    state.told.append(i.Purge(event.object, event.group, max(0, state.now - event.purged)))
+    state.told.append(i.Purge(event.object, event.group, max(0, state.now - counted)))
--- a/hallproxy/wire/changelog.py
+++ b/hallproxy/wire/changelog.py
@@ -33,12 +33,18 @@
 
 
 def read_events(
-    page: dict[str, Any], since: int, settings: i.Settings, now: int, gaps: bool = False
+    page: dict[str, Any],
+    since: int,
+    settings: i.Settings,
+    now: int,
+    gaps: bool = False,
+    live: bool = True,
 ) -> Iterator[tuple[int, MembersTold | PurgeTold | None]]:
     """The events after ``since`` in their order, each with its number; None for a kind not known here.
 
     A number that leaves a gap is an error, as what comes after it must not be applied, unless ``gaps`` says
-    that the log has already been asked again and has nothing to fill it.
+    that the log has already been asked again and has nothing to fill it. What is not ``live`` may be
+    old.
     """
     try:
         results = sorted(page["results"], key=lambda entry: int(entry["seq"]))
@@ -49,14 +55,16 @@
             if seq != since + 1 and not gaps:
                 raise ChangeError(f"the change log leaves a gap between {since} and {seq}")
             since = seq
-            yield seq, _event(entry, settings, now)
+            yield seq, _event(entry, settings, now, live)
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         if isinstance(error, ChangeError):
             raise
         raise ChangeError(f"news that can't be read: {type(error).__name__} {error}") from None
 
 
-def _event(entry: dict[str, Any], settings: i.Settings, now: int) -> MembersTold | PurgeTold | None:
+def _event(
+    entry: dict[str, Any], settings: i.Settings, now: int, live: bool
+) -> MembersTold | PurgeTold | None:
     fleet, gone = entry.get("fleet"), entry.get("invalidate")
     if fleet is not None:
         members = [member_from_json(line, settings) for line in fleet["instances"]]
@@ -66,5 +74,8 @@
     if gone is not None:
         obj = int(gone["object"], 16) if gone.get("object") else 0
         # Told in whole milliseconds: what was made in the same one may be from before the purge.
-        return PurgeTold(now, obj, int(gone.get("bucket", 0)), int(gone["time"]) * MS + MS - 1)
+        purged = int(gone["time"]) * MS + MS - 1
+        # A store counts a copy's age by its own clock, and this one may be ahead: from when live news came in
+        # is a little strict and never too lax, whatever the two clocks say.
+        return PurgeTold(now, obj, int(gone.get("bucket", 0)), purged, max(now, purged) if live else purged)
     return None
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import replace
 from typing import Any
 
@@ -142,6 +143,30 @@
     assert used([*CACHES, ORIGIN]) == {ORIGIN.server}
 
 
+def test_parents_get_fills_by_their_links_the_nearest_zones_first() -> None:
+    """A parent of a third of the other's link got as much of the fills between them, and stood jammed."""
+    small = Member(b"small", State.READY, kind=1, zone=2, weight=20.0)
+    large = Member(b"large", State.READY, kind=1, zone=0, weight=60.0)
+
+    def shares(zone: int, fleet: list[Member]) -> dict[bytes, float]:
+        d = Driver(
+            fleet=[*(replace(c, zone=zone) for c in CACHES), *fleet, ORIGIN],
+            zone=zone,
+            zone_hub=(0, 1, 2, 0, 1, 2),
+            zone_routers=(0, 0, 0, 6, 6, 8),
+            routers=20,
+        )
+        used = Counter(d.first(obj=obj, size=1.0).source for obj in range(1, 401))
+        return {server: round(times / 400, 1) for server, times in used.items()}
+
+    assert shares(3, [small, large]) == {b"large": 1.0}
+    assert shares(4, [small, large]) == {b"large": 1.0}  # on its way to both: where there is room
+    assert shares(5, [small, large]) == {b"small": 0.6, b"large": 0.4}  # its own carries a quarter of 20
+    assert shares(5, [small]) == {b"small": 1.0} and shares(5, [large]) == {b"large": 1.0}
+    equal = [replace(small, zone=0), replace(small, server=b"other", zone=0)]
+    assert shares(3, equal) == {b"small": 0.5, b"other": 0.5}
+
+
 def test_a_near_parent_over_twice_the_lowest_first_byte_time_gets_no_fills() -> None:
     d = Driver()
     fast, slow = (d.router.peers[p.server] for p in NEAR)
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -19,6 +19,7 @@
 from hallproxy.state.purges import Purges
 from hallproxy.state.reducer import reduce
 from hallproxy.wire.bench import settings_from_json
+from hallproxy.wire.changelog import read_events
 from tests.gateway import platform_settings
 
 MS, SECOND = 10**6, 10**9
@@ -194,6 +195,33 @@
     assert purges.last(2, 0) == 20
 
 
+@pytest.mark.parametrize("connects", [False, True])
+def test_a_clock_ahead_of_the_stores_asks_for_no_copy_from_before_a_purge(connects: bool) -> None:
+    """A clock 2 s ahead took a purge just made for 2 s old: copies older than it would have done."""
+    core, obj, ahead = Core(), 7, 2 * SECOND
+    page = {"results": [{"seq": 1, "invalidate": {"object": f"{obj:x}", "time": (START - ahead) // MS}}]}
+
+    def tell() -> None:
+        for _, event in read_events(page, 0, core.state.settings, core.now):
+            assert isinstance(event, events.PurgeTold)
+            core.bring(event)
+
+    tell() if not connects else None
+    opened = next(e for e in core.ask(1, obj) if isinstance(e, effects.Open))
+    tell() if connects else None
+    core.now += 300 * MS
+    sent = core.bring(events.LinkUp(core.now, opened.link))
+    order = next(e.order for e in sent if isinstance(e, effects.Send))
+    assert 0 < order.max_age <= 300 * MS and not order.join
+
+
+def test_old_news_counts_from_the_purge_itself() -> None:
+    page = {"results": [{"seq": 1, "invalidate": {"bucket": 3, "time": START // MS - 5000}}]}
+    for live, since in ((True, START), (False, START - 5 * SECOND + MS - 1)):
+        ((_, event),) = read_events(page, 0, Core().state.settings, START, live=live)
+        assert isinstance(event, events.PurgeTold) and event.counted == since
+
+
 def test_a_budget_holds_back_until_there_is_room() -> None:
     async def run() -> list[str]:
         budget, said = Budget(lambda: 100), []
