A jam behind the caches: the room falls to one attempt, much that stays away takes room, dead parents are benched

Attempts out over all 40 gateways, by second: 4 s 76, 8 s 148, 9 s 239, 10 s 312, 11 s 372; of those at 11 s 206 were out for over 0.5 s and 1.5 times their sending time. Hits stayed within 10 ms of their sending time all the while, so caches' links were not it; two parents asked for the same object were 35 to 70 of 570 first asks a second, so parents that gateways disagree on were not it either. At fault: _held_out took off all attempts that stay away, which in a jam are all fills, and _size_room held the least room at three quarters of the caches' links, 4.5 attempts a gateway, whatever the sources could do.

At fault: _mark, which wanted another source that had answered within 2 s and took benched ones into the median; the origin had never been asked.

--- a/hallproxy/logic.py
+++ b/hallproxy/logic.py
@@ -64,12 +64,11 @@
 BOUND_SLACK = 3.0  # ...and this many more, so that at low load the hash alone decides
 # Room: attempts out at the zone's caches from all its routers together, over which new requests wait and
 # then are refused; a router has its part.
-ROOM_LEAST = 6.0  # attempts a cache; always allowed, so that a jam's end is seen...
-ROOM_LINK = 0.75  # ...or, where weights tell what links carry, this share of that
 ROOM_FIRST = 16.0  # attempts a cache before anything is known, ...
 ROOM_MOST = 40.0  # ...and at most, ...
-ROOM_OVER = 2.0  # ...or this multiple of the least: large links are not held to what small ones carry
-ROOM_SINGLE = 1.0  # attempts; a router's part of the room is never taken to be less
+ROOM_OVER = 1.5  # ...or this multiple of what links carry, where weights tell
+ROOM_SINGLE = 1.0  # attempts; a router's part of the room is never less, so that a jam's end is seen
+ROOM_STUCK = 0.25  # share of the room up to which attempts that stay away take none of it
 ROOM_CUT = 0.99  # factor for each late answer
 ROOM_CUT_LOST = 0.96  # factor for each attempt that ran out of time or was turned away as full
 ROOM_STEP = 2.0  # attempts gained for each roomful of answers in time, while the room is in use
@@ -185,8 +184,8 @@
         self.late = LATE_FIRST  # smoothed share of such that came after all
         self.long: list[tuple[int, int, int]] = []  # (time, request, attempt) from which an answer stays away
         self.dense = Ranks()  # worth a second of sending, of recent requests
-        self.link_use = USE_UNHEARD
-        self.typical, self.typical_at = 0.0, 0  # the caches' median time over sending time; when taken
+        self.link_use, self.typical_at = USE_UNHEARD, 0
+        self.typical = 0.0  # the caches' median time over sending time
         self.work: list[float] = [0.0] * len(settings.classes)  # mean sending time by class, s
         self.room = 0.0  # attempts out at the zone's caches together
         self.purges: OrderedDict[int, tuple[int, int]] = OrderedDict()  # object -> (purged at, forget at)
@@ -462,25 +461,24 @@
 
     def _judge(self, event: i.Outcome, cache: Peer, source: Peer) -> None:
         """Learn from one outcome: first-byte times, shares of failures, who is benched."""
-        status, note = event.status, event.note
+        status, note, entry = event.status, event.note, self.open[event.request]
         if status in (i.Status.MOOT, i.Status.CANCELLED):
             return
-        entry = self.open[event.request]
         if status is i.Status.TIMEOUT and event.latency < entry.aim - entry.came:
             return  # an impatient client's, as in _size_room
         filled = note in (i.Note.FILLED, i.Note.FILLED_BY_ORIGIN)
         if status in (i.Status.OK, i.Status.TIMEOUT) and not filled:
-            slow = event.latency / SECOND / (SLOW_BASE + self._work(self.open[event.request].request))
+            slow = event.latency / SECOND / (SLOW_BASE + self._work(entry.request))
             cache.slow = cache.slow or self.typical or slow
             cache.slow += SLOW_SMOOTH * (slow - cache.slow)
         if status is i.Status.OK:
             self.spans.add(event.latency / SECOND / (SLOW_BASE + self._work(entry.request)))
             cache.answered = self.now
             for peer in {cache.member.server: cache, source.member.server: source}.values():
-                peer.served += self.work[self.open[event.request].request.cls]
+                peer.served += self.work[entry.request.cls]
             self._mark(cache, 0.0)
             if self.s.tells is not i.Tells.NONE and filled:
-                self.gains.add(self.open[event.request].gain)
+                self.gains.add(entry.gain)
             if filled or self.s.tells is i.Tells.NONE:
                 self._mark(source, 0.0)
                 source.answered = self.now
@@ -507,10 +505,9 @@
         """Late answers shrink the room, answers in time widen it while it is in use.
 
         Guards against every jam: past some number of transfers each one more makes all of them late. Harms
-        when answers are late for a reason that fewer attempts do not mend; ROOM_LEAST bounds that.
+        when answers are late for a reason that fewer attempts do not mend; lookups go on all the while.
         """
-        routers = self.zone_routers  # each outcome seen here stands for as many in the zone
-        size = max(1, len(self.caches)) / routers
+        routers, size = self.zone_routers, max(1, len(self.caches)) / self.zone_routers  # one here is as many
         self.room = self.room or ROOM_FIRST * size
         if event.status is i.Status.TIMEOUT and event.latency < entry.aim - entry.came:
             return  # its client left before it could be late
@@ -521,13 +518,16 @@
                 self.room *= ROOM_CUT**routers
             elif self._held_out() >= self.room * ROOM_IN_USE:
                 self.room += ROOM_STEP / self.room / routers
-        links = ROOM_LINK * sum(p.member.weight for p in self.caches) / routers
-        least = links if self.s.weights_told else ROOM_LEAST * size
-        self.room = min(max(ROOM_MOST * size, ROOM_OVER * least), max(least, self.room))
+        links = sum(p.member.weight for p in self.caches) / routers if self.s.weights_told else 0.0
+        self.room = min(max(ROOM_MOST * size, ROOM_OVER * links), max(ROOM_SINGLE, self.room))
 
-    def _held_out(self) -> int:
-        """Attempts out at the caches; what a benched one sits on must not take the room of the others."""
-        return sum(p.out - p.stuck for p in self.caches if not p.benched)
+    def _held_out(self) -> float:
+        """Attempts out at the caches. What a benched one sits on takes no room of the others', nor what stays
+        away, as lost answers do, unless it is much: then it is a jam behind the caches.
+        """
+        usable = [p for p in self.caches if not p.benched]
+        few = max(ROOM_SINGLE, ROOM_STUCK * (self.room or ROOM_FIRST * len(self.caches) / self.zone_routers))
+        return sum(p.out for p in usable) - min(few, sum(p.stuck for p in usable))
 
     def _full(self, entry: Open, times: float = 1.0) -> bool:
         """Whether there is no room for it. Departure, in the spirit of revenue per byte: worth a second of
@@ -545,9 +545,10 @@
                 self._log("bench", f"back: {shown(peer.member.server)}")
         elif peer.fail > BENCH_ABOVE:
             like = self.caches if peer in self.caches else [p for tier in self.tiers for p in tier]
-            others = sorted(p.fail for p in like if p is not peer)
-            alive = any(p.answered > self.now - SILENT for p in like if p is not peer)
-            if alive and peer.fail >= BENCH_OVER_PEERS * others[len(others) // 2]:
+            others = sorted((p for p in like if p is not peer and not p.benched), key=lambda p: p.fail)
+            unheard = like is not self.caches  # a source that was never asked may well be alive
+            alive = any(p.answered > self.now - SILENT or unheard and not p.answered + p.fail for p in others)
+            if alive and peer.fail >= BENCH_OVER_PEERS * others[len(others) // 2].fail:
                 peer.benched, peer.next_trial = True, self.now + TRIAL_EVERY
                 self._log("bench", f"benched: {shown(peer.member.server)} failing {peer.fail:.2f}")
 
@@ -645,9 +646,8 @@
                             f"sources first-byte/fail/out {sources}")  # fmt: skip
 
     def _report(self, server: i.ServerId, load: tuple[float, ...]) -> None:
-        peer = self.peers.get(server)
         for name, value in zip(self.s.report_fields, load, strict=False):
-            if name == "x1" and value == value and peer in self.caches:
+            if name == "x1" and value == value and self.peers.get(server) in self.caches:
                 self.link_use += 0.3 * (min(1.0, max(0.0, value)) - self.link_use)
 
     # Rule guards ----------------------------------------------------------------------------------------
