Second front: files kept on disk by digest, over restarts, checked whenever they are read

The platform's gateway imports none of it: two plain base classes (OtherEvent, OtherEffect) are all it has of this.

--- /dev/null
+++ b/hallproxy/files/disk.py
@@ -0,0 +1,115 @@
+"""The directory of kept files: written beside and renamed, read whole and checked, one owner at a time.
+
+Nothing is synced: a file that a crash tore fails its digest when it is read, and is removed then.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import fcntl
+import hashlib
+import os
+from collections.abc import Callable
+from pathlib import Path
+
+from hallproxy.files.kept import Found
+from hallproxy.files.messages import DropKept, FetchKept, KeptRead, KeptWritten, StoreKept
+from hallproxy.run.loop import Loop, say
+from hallproxy.state.effects import OtherEffect
+
+LOCK = ".lock"
+
+
+class DiskError(Exception):
+    """The directory can't be used; the text is one plain line."""
+
+
+class Disk:
+    """Carries out the reducer's words about kept files, in threads: a disk may take its time."""
+
+    def __init__(self, where: Path) -> None:
+        """Raises DiskError where the directory can't be made, written to, or is another process's."""
+        self._where = where
+        try:
+            where.mkdir(parents=True, exist_ok=True)
+            self._lock = os.open(where / LOCK, os.O_RDWR | os.O_CREAT, 0o600)
+        except OSError as error:
+            raise DiskError(f"{where} can't be used for files: {error.strerror}") from None
+        try:
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            os.close(self._lock)
+            raise DiskError(f"{where} is in use by another process") from None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._loop: Loop
+
+    def list(self) -> list[Found]:
+        """What lies there, by name and size alone: no byte of it is read."""
+        with os.scandir(self._where) as entries:
+            plain = [(e.name, e.stat(follow_symlinks=False)) for e in entries if e.name != LOCK]
+        return [Found(name, stat.st_size, stat.st_mtime_ns) for name, stat in plain]
+
+    def attach(self, loop: Loop) -> None:
+        self._loop = loop
+
+    def do(self, effect: OtherEffect) -> None:
+        match effect:
+            case FetchKept():
+                self._begin(lambda: self._fetch(effect))
+            case StoreKept():
+                self._begin(lambda: self._store(effect))
+            case DropKept():
+                self._begin(lambda: self.remove(str(effect.name)))
+
+    def _begin(self, work: Callable[[], Callable[[], None] | None]) -> None:
+        async def run() -> None:
+            done = await asyncio.to_thread(work)
+            if done is not None:
+                done()
+
+        task = asyncio.get_running_loop().create_task(run())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def close(self) -> None:
+        """Wait for what is being written, then leave the directory to others."""
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+        os.close(self._lock)
+
+    def remove(self, name: str) -> None:
+        try:
+            (self._where / name).unlink(missing_ok=True)
+        except OSError as error:
+            say(f"files: {name} can't be removed: {error.strerror}")
+
+    def _fetch(self, effect: FetchKept) -> Callable[[], None]:
+        body: bytes | None
+        path = self._where / str(effect.name)
+        try:
+            body = path.read_bytes()
+        except OSError as error:
+            say(f"files: {effect.name} can't be read: {error.strerror}")
+            body = None
+        if body is not None and hashlib.sha256(body).hexdigest() != effect.name.digest:
+            # Torn by a crash, or damaged since: upstream is asked, and the bytes never go out.
+            say(f"files: {effect.name} does not hold what its name says")
+            body = None
+        if body is not None:
+            try:
+                os.utime(path)  # the order in which files leave outlives a restart
+            except OSError:
+                pass
+        return lambda: self._loop.bring(KeptRead(self._loop.now(), effect.call, effect.name, body))
+
+    def _store(self, effect: StoreKept) -> Callable[[], None]:
+        half = self._where / f"{effect.name}.half"
+        good = True
+        try:
+            half.write_bytes(effect.body)
+            half.rename(self._where / str(effect.name))
+        except OSError as error:
+            say(f"files: {effect.name} can't be written, none is for a while: {error.strerror}")
+            good = False
+            self.remove(half.name)
+        return lambda: self._loop.bring(KeptWritten(self._loop.now(), effect.name, good))
--- /dev/null
+++ b/hallproxy/files/messages.py
@@ -0,0 +1,45 @@
+"""What the reducer and the disk say to each other about kept files."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from hallproxy.files.kept import Name
+from hallproxy.state.effects import OtherEffect
+from hallproxy.state.events import OtherEvent
+
+
+@dataclass(slots=True, frozen=True)
+class FetchKept(OtherEffect):
+    """Read a kept file for a request."""
+
+    call: int
+    name: Name
+
+
+@dataclass(slots=True, frozen=True)
+class StoreKept(OtherEffect):
+    name: Name
+    body: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class DropKept(OtherEffect):
+    name: Name
+
+
+@dataclass(slots=True, frozen=True)
+class KeptRead(OtherEvent):
+    """The bytes, checked against their digest; None: they are not to be had."""
+
+    at: int
+    call: int
+    name: Name
+    body: bytes | None
+
+
+@dataclass(slots=True, frozen=True)
+class KeptWritten(OtherEvent):
+    at: int
+    name: Name
+    good: bool
--- /dev/null
+++ b/hallproxy/lab/files.py
@@ -0,0 +1,140 @@
+"""Files a second through the second front: from upstream, from memory and from the disk.
+
+    python -m hallproxy.lab.files --kb 1000 --files 20 --seconds 3 --clients 1 16
+
+A front of its own for each way, one after another, with a stand-in upstream on loopback. The disk's front is
+started anew on a full directory, and keeps no copies in memory.
+"""
+
+from __future__ import annotations
+
+import argparse
+import hashlib
+import http.client
+import json
+import re
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+
+ROOT = Path(__file__).parents[2]
+JSON = "application/vnd.pypi.simple.v1+json"
+
+
+class Stand(BaseHTTPRequestHandler):
+    bodies: dict[str, bytes] = {}
+    protocol_version = "HTTP/1.1"
+    asked = 0
+
+    def do_GET(self) -> None:
+        name = self.path.strip("/").split("/")[-1]
+        body = self.bodies.get(name, b"")
+        Stand.asked += name.endswith(".whl")
+        self.send_response(200 if body else 404)
+        self.send_header("Content-Type", JSON)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, format: str, *args: object) -> None:
+        pass
+
+
+@contextmanager
+def front(where: Path, text: str) -> Iterator[int]:
+    """A front with that deploy file; its port."""
+    (where / "r.toml").write_text(text)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "hallproxy", "repository", str(where / "r.toml")],
+        stderr=subprocess.PIPE,
+        text=True,
+        cwd=ROOT,
+    )
+    assert process.stderr is not None
+    said_so = next(line for line in process.stderr if " listens on " in line)
+    threading.Thread(target=process.stderr.read, daemon=True).start()
+    try:
+        yield int(said_so.rsplit(":", 1)[1])
+    finally:
+        process.terminate()
+        process.wait(timeout=15)
+
+
+def urls(port: int) -> list[str]:
+    made = http.client.HTTPConnection("127.0.0.1", port, timeout=30)
+    made.request("GET", "/simple/many/", headers={"Accept": JSON})
+    return [file["url"] for file in json.loads(made.getresponse().read())["files"]]
+
+
+def rate(port: int, clients: int, seconds: float) -> float:
+    """Whole files a second that so many clients take, each on one connection."""
+    wanted, counts = urls(port), [0] * clients
+    until = time.perf_counter() + seconds
+
+    def take(n: int) -> None:
+        made = http.client.HTTPConnection("127.0.0.1", port, timeout=30)
+        while time.perf_counter() < until:
+            made.request("GET", wanted[(n + counts[n]) % len(wanted)])
+            said = made.getresponse()
+            said.read()
+            if said.status != 200:
+                raise RuntimeError(f"status {said.status}")
+            counts[n] += 1
+
+    threads = [threading.Thread(target=take, args=(n,)) for n in range(clients)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return sum(counts) / seconds
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(prog="hallproxy.lab.files", description="Files from disk and elsewhere.")
+    parser.add_argument("--kb", type=int, default=1000)
+    parser.add_argument("--files", type=int, default=20)
+    parser.add_argument("--seconds", type=float, default=3.0)
+    parser.add_argument("--clients", type=int, nargs="+", default=[1, 16])
+    args = parser.parse_args(argv)
+    names = [f"many-1.{n}-py3-none-any.whl" for n in range(args.files)]
+    Stand.bodies = {name: bytes([n % 256]) * args.kb * 1000 for n, name in enumerate(names)}
+    entries = [
+        {
+            "filename": n,
+            "url": f"/pool/{n}",
+            "hashes": {"sha256": hashlib.sha256(Stand.bodies[n]).hexdigest()},
+        }
+        for n in names
+    ]
+    top = {"meta": {"api-version": "1.0"}, "name": "many", "files": entries}
+    Stand.bodies["many"] = json.dumps(top).encode()
+    server = ThreadingHTTPServer(("127.0.0.1", 0), Stand)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    text = (ROOT / "deploy" / "repository.toml").read_text()
+    text = text.replace('listen = "127.0.0.1:8081"', 'listen = "127.0.0.1:0"')
+    text = text.replace('address = "127.0.0.1:8082"', f'address = "127.0.0.1:{server.server_address[1]}"')
+    none = re.sub(r"copies_mb = \d+", "copies_mb = 0", text)
+    disk = none.replace("[[upstream]]", '[files]\ndirectory = "kept"\nmost_mb = 4096\n\n[[upstream]]', 1)
+    shown: dict[str, dict[str, float]] = {}
+    with tempfile.TemporaryDirectory() as name:
+        where = Path(name)
+        with front(where, disk) as port:
+            rate(port, 4, args.seconds)  # fills the directory
+        for way, deploy in (("upstream", none), ("memory", text), ("disk", disk)):
+            with front(where, deploy) as port:
+                rate(port, 1, args.seconds / 2)
+                before = Stand.asked
+                shown[way] = {str(n): round(rate(port, n, args.seconds)) for n in args.clients}
+                shown[way]["asked_upstream"] = Stand.asked - before
+    print(json.dumps({"kb": args.kb, "files": args.files, "files_per_s_by_clients": shown}))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/hallproxy/run/loop.py
+++ b/hallproxy/run/loop.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from hallproxy.state.effects import Close, Effect, Open, Reply, Say, Send, Wake
+from hallproxy.state.effects import Close, Effect, Open, OtherEffect, Reply, Say, Send, Wake
 from hallproxy.state.events import Answer, Event
 from hallproxy.state.model import State
 from hallproxy.state.reducer import reduce
@@ -36,6 +36,7 @@
         self.state = state
         self.stores: Stores
         self.repliers: dict[int, Replier] = {}
+        self.other: Callable[[OtherEffect], None] = lambda _: None  # what does the effects of further parts
         self._events: deque[Event] = deque()
         self._running = False
         self._callers = 0
@@ -87,6 +88,8 @@
                 self.stores.close(effect.link)
             case Say():
                 say(effect.text)
+            case OtherEffect():
+                self.other(effect)
 
     def _wake(self, event: Event) -> None:
         if event.at > time.time_ns():  # the loop's clock and the system's differ by a little
--- a/hallproxy/run/repository_config.py
+++ b/hallproxy/run/repository_config.py
@@ -18,7 +18,7 @@
 
 INDEX, PACKAGE = "index", "package"  # the classes that its settings must name
 KEYS = ("listen", "changelog", "contracts", "file_most_mb", "copies_mb", "absent_ms", "upstream", "route",
-        "tls_certificate", "tls_key", "settings")  # fmt: skip
+        "files", "tls_certificate", "tls_key", "settings")  # fmt: skip
 
 
 @dataclass(slots=True, frozen=True)
@@ -29,6 +29,8 @@
     file_most: int  # bytes
     copies_most: int  # bytes
     absent: int  # ns for which an answer "not there" holds
+    files: Path | None  # where files are kept on disk; None: nowhere
+    files_most: int  # bytes of them
     upstreams: tuple[tuple[str, str], ...]  # id, address
     settings: i.Settings
     routes: Routes
@@ -53,6 +55,7 @@
         if not upstreams or len({ident for ident, _ in upstreams}) < len(upstreams):
             raise ConfigError("upstream needs at least one, each with an id of its own")
         contracts = top.get("contracts", "")
+        files = _files(top.get("files"))
         return RepositoryConfig(
             listen=address(top["listen"]),
             changelog=address(top["changelog"]) if top.get("changelog") else None,
@@ -60,6 +63,8 @@
             file_most=_megabytes(top, "file_most_mb", 16),
             copies_most=_megabytes(top, "copies_mb", 64),
             absent=_milliseconds(top, "absent_ms", 1000, 60_000),
+            files=path.parent / files[0] if files is not None else None,
+            files_most=files[1] if files is not None else 0,
             upstreams=upstreams,
             settings=settings,
             routes=Routes(tuple(_rule(r) for r in top.get("route", [])), tuple(u for u, _ in upstreams)),
@@ -145,6 +150,20 @@
     return Rule(tuple(simple.normal(str(p)) if p else "" for p in projects), made)
 
 
+def _files(table: object) -> tuple[str, int] | None:
+    """``directory``, beside the deploy file, and ``most_mb``, up to 1,048,576."""
+    if table is None:
+        return None
+    if not isinstance(table, dict) or set(table) != {"directory", "most_mb"}:
+        raise ConfigError("files knows directory and most_mb, and needs both")
+    directory, most = table["directory"], table["most_mb"]
+    if not isinstance(directory, str) or not directory:
+        raise ConfigError(f"files: directory is {directory!r}")
+    if type(most) is not int or not 1 <= most <= 1024 * 1024:
+        raise ConfigError(f"files: most_mb is {most!r}, not from 1 to 1048576")
+    return directory, most * 1024 * 1024
+
+
 def _milliseconds(top: dict[str, object], key: str, default: int, most: int) -> int:
     value = top.get(key, default)
     if type(value) is not int or not 0 <= value <= most:
--- a/hallproxy/run/repository_main.py
+++ b/hallproxy/run/repository_main.py
@@ -11,6 +11,9 @@
 from tornado.netutil import add_accept_handler, bind_sockets
 
 from hallproxy import interface as i
+from hallproxy.files.disk import Disk, DiskError
+from hallproxy.files.kept import Kept
+from hallproxy.files.part import Files
 from hallproxy.logic import Router, check
 from hallproxy.run.changelog import Poller
 from hallproxy.run.config import ConfigError
@@ -58,8 +61,27 @@
     return MembersTold(now, change, tuple(where for _, where in config.upstreams))
 
 
+def _disk(config: RepositoryConfig, loop: Loop) -> Disk | None:
+    """Files of a former life count from here on, by their names alone; what can't be one of them goes."""
+    if config.files is None:
+        return None
+    try:
+        disk = Disk(config.files)
+    except DiskError as error:
+        raise ConfigError(str(error)) from None
+    kept = Kept(config.files_most)
+    for name in kept.recover(disk.list()):
+        disk.remove(name)
+    loop.state.files = Files(kept)
+    loop.other = disk.do
+    disk.attach(loop)
+    say(f"files: {len(kept.sizes)} kept, {kept.held} bytes")
+    return disk
+
+
 async def serve(path: Path, config: RepositoryConfig, signals: Signals) -> None:
     loop = Loop(new_state(config))
+    disk = _disk(config, loop)
     upstream = Upstream(config.file_most, (where for _, where in config.upstreams), config.ways)
     loop.stores = HttpStores(loop, upstream)
     loop.bring(_members(config, loop.now()))
@@ -97,6 +119,8 @@
             raise ConfigError("TLS towards clients where there was none, or none any more, needs a restart")
         if (new.changelog is None) != (poller is None):
             raise ConfigError("a change log where there was none, or none any more, needs a restart")
+        if (new.files, new.files_most) != (config.files, config.files_most):
+            raise ConfigError("other files on disk need a restart")
         check(new.settings)
         upstream.configure(new.file_most, (where for _, where in new.upstreams), new.ways)
         loop.bring(Reconfigured(loop.now(), new.settings, bounds(new)))
@@ -118,6 +142,8 @@
     while front.busy and asyncio.get_running_loop().time() < until:
         await asyncio.sleep(0.02)
     await front.close()
+    if disk is not None:
+        await disk.close()
     for task in tasks:
         task.cancel()
 
--- a/hallproxy/state/calls.py
+++ b/hallproxy/state/calls.py
@@ -57,7 +57,7 @@
     state.calls[call.ident] = state.callers[event.caller] = call
     state.effects.append(Wake(CallDue(state.now + asked.left, call.ident)))
     if not waits:
-        begin(state, call)
+        start(state, call)
 
 
 def _place(asked: Asked) -> tuple[int, int, int]:
@@ -76,6 +76,14 @@
         state.absent.put(_place(asked), asked.group, asked_at, state.purges.last(asked.object, asked.group))
 
 
+def start(state: State, call: Call) -> None:
+    """The request has its place: what lies on disk answers it, or the module is asked."""
+    if state.files is not None and state.files.read(state, call):
+        call.begun = True
+    else:
+        begin(state, call)
+
+
 def begin(state: State, call: Call) -> None:
     """The module hears of the request."""
     asked = call.asked
--- a/hallproxy/state/effects.py
+++ b/hallproxy/state/effects.py
@@ -72,4 +72,10 @@
     text: str
 
 
-Effect = Reply | Open | Send | Close | Wake | Say
+class OtherEffect:
+    """Of a part that a gateway may be without; the loop hands it to that part."""
+
+    __slots__ = ()
+
+
+Effect = Reply | Open | Send | Close | Wake | Say | OtherEffect
--- a/hallproxy/state/events.py
+++ b/hallproxy/state/events.py
@@ -224,6 +224,13 @@
     bounds: Bounds
 
 
+class OtherEvent:
+    """Of a part that a gateway may be without; only that part knows what it means."""
+
+    __slots__ = ()
+    at: int
+
+
 Event = (
     Arrived
     | CallerLeft
@@ -241,4 +248,5 @@
     | ContractsTold
     | Lagged
     | Reconfigured
+    | OtherEvent
 )
--- a/hallproxy/state/links.py
+++ b/hallproxy/state/links.py
@@ -250,6 +250,8 @@
         answer = Answer(Verdict.SERVED, result.body, result.unchanged, tag=result.tag, born=result.born)
         calls.reply(state, call, answer)
         calls.keep(state, call, one.get, result)
+        if state.files is not None and one.get.keep and not result.unchanged:
+            state.files.keep(state, call, result.body)
     else:
         said = result.reason if result is not None else Reason.NONE
         call.reason = REASONS[status] if said is Reason.NONE else said
--- a/hallproxy/state/model.py
+++ b/hallproxy/state/model.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from hallproxy import interface as i
 from hallproxy.broker.broker import Broker
@@ -16,6 +17,9 @@
 from hallproxy.state.members import Members
 from hallproxy.state.purges import Purges
 
+if TYPE_CHECKING:  # a part that the platform's gateway is without
+    from hallproxy.files.part import Files
+
 
 @dataclass(slots=True, eq=False)
 class Attempt:
@@ -73,6 +77,7 @@
     keeps_old: bool = False  # copies past their fresh time are kept for their grace: to renew, and in need
     purge_strict: bool = False  # also what was sent before a purge was heard may not be older at its answer
     broker: Broker | None = None  # None: no contracts are kept here
+    files: Files | None = None  # None: no files are kept on disk
     members: Members = field(default_factory=Members)
     purges: Purges = field(default_factory=Purges)
     calls: dict[int, Call] = field(default_factory=dict)
--- a/hallproxy/state/reducer.py
+++ b/hallproxy/state/reducer.py
@@ -25,6 +25,7 @@
     LinkUp,
     MembersTold,
     NewsHeard,
+    OtherEvent,
     PurgeTold,
     Reconfigured,
     TurnDue,
@@ -68,6 +69,8 @@
             state.broker.capacity.lagged(event.lag)
         case Reconfigured():
             _reconfigured(state, event)
+        case OtherEvent() if state.files is not None:
+            state.files.take(state, event)
     _consult(state)
     while state.broker is not None and teams.start_waiting(state):
         _consult(state)
@@ -117,4 +120,6 @@
     state.purges.add(event.object, event.group, event.purged, counted)
     state.copies.purge(event.object, event.group, event.purged)
     state.absent.purge(event.object, event.group, event.purged)
+    if state.files is not None:
+        state.files.purge(state, event.object, event.group)
     state.told.append(i.Purge(event.object, event.group, max(0, state.now - counted)))
--- a/hallproxy/state/teams.py
+++ b/hallproxy/state/teams.py
@@ -32,7 +32,7 @@
         state.broker = None
         for call in state.callers.values():
             if not call.begun:
-                calls.begin(state, call)
+                calls.start(state, call)
     elif state.broker is None:
         state.broker = Broker(event.contracts, state.now, state.bounds.links)
     else:
@@ -92,7 +92,7 @@
     while broker is not None and (ident := broker.next(state.now)) is not None:
         call = state.calls.get(ident)
         if call is not None and not call.answered:
-            calls.begin(state, call)
+            calls.start(state, call)
             any_began = True
     return any_began
 
