--- a/hallproxy/files/disk.py
+++ b/hallproxy/files/disk.py
@@ -11,6 +11,7 @@
 import os
 from collections.abc import Callable
 from pathlib import Path
+from typing import BinaryIO
 
 from hallproxy.files.kept import Found
 from hallproxy.files.messages import DropKept, FetchKept, KeptRead, KeptWritten, StoreKept
@@ -71,6 +72,10 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def open(self, name: str) -> BinaryIO:
+        """A kept file, to be served from; it stays readable when it leaves the directory meanwhile."""
+        return (self._where / name).open("rb")
+
     async def close(self) -> None:
         """Wait for what is being written, then leave the directory to others."""
         while self._tasks:
@@ -84,23 +89,24 @@
             say(f"files: {name} can't be removed: {error.strerror}")
 
     def _fetch(self, effect: FetchKept) -> Callable[[], None]:
-        body: bytes | None
-        path = self._where / str(effect.name)
+        path, body, digest = self._where / str(effect.name), b"", effect.name.digest
         try:
-            body = path.read_bytes()
+            if effect.large and not effect.checked:
+                with path.open("rb") as file:
+                    digest = hashlib.file_digest(file, "sha256").hexdigest()
+            elif not effect.large:
+                body = path.read_bytes()
+                digest = hashlib.sha256(body).hexdigest()
+            os.utime(path)  # the order in which files leave outlives a restart
         except OSError as error:
             say(f"files: {effect.name} can't be read: {error.strerror}")
-            body = None
-        if body is not None and hashlib.sha256(body).hexdigest() != effect.name.digest:
+            digest = ""
+        good = digest == effect.name.digest
+        if digest and not good:
             # Torn by a crash, or damaged since: upstream is asked, and the bytes never go out.
             say(f"files: {effect.name} does not hold what its name says")
-            body = None
-        if body is not None:
-            try:
-                os.utime(path)  # the order in which files leave outlives a restart
-            except OSError:
-                pass
-        return lambda: self._loop.bring(KeptRead(self._loop.now(), effect.call, effect.name, body))
+        body = body if good else b""
+        return lambda: self._loop.bring(KeptRead(self._loop.now(), effect.call, effect.name, good, body))
 
     def _store(self, effect: StoreKept) -> Callable[[], None]:
         half = self._where / f"{effect.name}.half"
--- a/hallproxy/files/kept.py
+++ b/hallproxy/files/kept.py
@@ -13,7 +13,7 @@
 
 SECOND = 1_000_000_000  # ns
 PAUSE = 30 * SECOND  # without writes after a full disk or another failed write
-LARGEST = 4  # a file of over this part of the bound is not kept: it would push out too much at once
+LARGEST = 2  # a file of over this part of the bound is not kept: it would push out too much at once
 WRITES = 8  # files being written at once; over that one is not kept this time
 _NAME = re.compile(r"([0-9a-f]{16})-([0-9a-f]{64})")
 
@@ -52,6 +52,7 @@
     held: int = 0
     sizes: OrderedDict[Name, int] = field(default_factory=OrderedDict)
     writing: dict[Name, int] = field(default_factory=dict)
+    checked: set[Name] = field(default_factory=set)  # their bytes were found right since the start
     paused_until: int = 0
 
     def recover(self, found: Iterable[Found]) -> list[str]:
@@ -99,8 +100,18 @@
             self.held -= size
         return good
 
+    def adopt(self, name: Name, size: int) -> list[Name]:
+        """A file that was written elsewhere lies in the directory now; those that leave for it."""
+        self.drop(name)
+        gone = self._make_room(size)
+        self.sizes[name] = size
+        self.checked.add(name)
+        self.held += size
+        return gone
+
     def drop(self, name: Name) -> bool:
         """It is not used again; whether there is a file to remove now."""
+        self.checked.discard(name)
         size = self.sizes.pop(name, None)
         if size is not None:
             self.held -= size
@@ -119,6 +130,7 @@
         gone = []
         while self.held + size > self.most and self.sizes:
             name, old = self.sizes.popitem(last=False)
+            self.checked.discard(name)
             self.held -= old
             gone.append(name)
         return gone
--- a/hallproxy/files/messages.py
+++ b/hallproxy/files/messages.py
@@ -11,10 +11,15 @@
 
 @dataclass(slots=True, frozen=True)
 class FetchKept(OtherEffect):
-    """Read a kept file for a request."""
+    """Read a kept file for a request: its bytes, or where it is ``large`` only whether they are right.
+
+    ``checked``: a large one was found right since the start, and need not be read again for that.
+    """
 
     call: int
     name: Name
+    large: bool
+    checked: bool
 
 
 @dataclass(slots=True, frozen=True)
@@ -30,12 +35,13 @@
 
 @dataclass(slots=True, frozen=True)
 class KeptRead(OtherEvent):
-    """The bytes, checked against their digest; None: they are not to be had."""
+    """The bytes, checked against their digest; none of a large file. Not ``good``: they are not to be had."""
 
     at: int
     call: int
     name: Name
-    body: bytes | None
+    good: bool
+    body: bytes = b""
 
 
 @dataclass(slots=True, frozen=True)
--- a/hallproxy/files/part.py
+++ b/hallproxy/files/part.py
@@ -1,41 +1,112 @@
 """Kept files in the life of a request, as a part of the reducer: looked for before the module is asked.
 
-A request that names a digest is answered from the disk where it can be; else it goes the way of all others.
-Its contract, budgets and deadline were looked at before, and its one answer goes out through ``calls.reply``.
+A request that names a digest is answered from the disk where it can be; else it goes the way of all others,
+and who asks for the same bytes meanwhile waits for the one fetch. Contract, budgets and deadline of each were
+looked at before, and each has its one answer through ``calls.reply``.
 """
 
 from __future__ import annotations
 
-from hallproxy.files.kept import Kept, Name
+from dataclasses import dataclass, field, replace
+
+from hallproxy.files.kept import Kept, Name, read_name
 from hallproxy.files.messages import DropKept, FetchKept, KeptRead, KeptWritten, StoreKept
 from hallproxy.state import calls
-from hallproxy.state.events import Answer, OtherEvent, Verdict
+from hallproxy.state.events import Answer, OtherEvent, Reason, Result, Verdict
 from hallproxy.state.model import Call, State
 
+FOR_ALL = (Reason.ABSENT, Reason.REPLACED)  # what is so for everybody who asks for these bytes
+
+
+@dataclass(slots=True)
+class Fetch:
+    """One way to the bytes, and who waits for them to come by it; ``lead`` is the request that asks."""
+
+    lead: int
+    waiting: dict[int, None] = field(default_factory=dict)
+
 
 class Files:
-    def __init__(self, kept: Kept) -> None:
+    def __init__(self, kept: Kept, large: int) -> None:
+        """``large``: files of so many bytes and more are never held in memory."""
         self.kept = kept
-        self.served = 0
+        self._large = large
+        self._fetches: dict[Name, Fetch] = {}  # as many as there are calls at most
+        self.served = self.joined = 0
 
     def read(self, state: State, call: Call) -> bool:
-        """Ask the disk for the bytes; false: they are not there, and the module is to be asked."""
-        name = self._name(call)
-        if name is None or not self.kept.use(name):
+        """Wait for the disk, or for another's fetch; false: the module is to be asked."""
+        name = _name(call)
+        if name is None:
             return False
-        state.effects.append(FetchKept(call.ident, name))
+        fetch = self._fetches.get(name)
+        if fetch is not None:
+            fetch.waiting[call.ident] = None
+            self.joined += 1
+            return True
+        self._fetches[name] = Fetch(call.ident)
+        return self._look(state, call, name)
+
+    def _look(self, state: State, call: Call, name: Name) -> bool:
+        if not self.kept.use(name):
+            return False
+        large = self.kept.sizes[name] >= self._large
+        state.effects.append(FetchKept(call.ident, name, large, name in self.kept.checked))
         return True
 
-    def keep(self, state: State, call: Call, body: bytes) -> None:
-        """Good bytes have come, and the module ranked them for keeping."""
-        name = self._name(call)
-        if name is None or not body:
+    def left(self, state: State, call: Call) -> bool:
+        """Its client has left: whether its fetch goes on all the same, for those who wait."""
+        name = _name(call)
+        fetch = self._fetches.get(name) if name is not None else None
+        if fetch is None or name is None:
+            return False
+        fetch.waiting.pop(call.ident, None)
+        if fetch.lead != call.ident:
+            return False
+        if not fetch.waiting:
+            del self._fetches[name]
+        return bool(fetch.waiting)
+
+    def over(self, state: State, call: Call, answer: Answer) -> None:
+        """A call has its answer. What came by its fetch is for all who wait; else one of them asks now."""
+        name = _name(call)
+        fetch = self._fetches.get(name) if name is not None else None
+        if fetch is None or name is None:
             return
-        gone = self.kept.begin(name, len(body), state.now)
-        if gone is None:
+        fetch.waiting.pop(call.ident, None)
+        if fetch.lead != call.ident:
             return
-        state.effects += [DropKept(old) for old in gone]
-        state.effects.append(StoreKept(name, body))
+        del self._fetches[name]
+        waiting = [c for c in map(state.calls.get, fetch.waiting) if c is not None and not c.answered]
+        bytes_came = answer.verdict is Verdict.SERVED and bool(answer.body or answer.spooled)
+        if bytes_came or answer.reason in FOR_ALL:
+            for one in waiting:
+                unchanged = bytes_came and one.asked.held == name.digest
+                calls.reply(state, one, replace(answer, unchanged=unchanged))
+        elif waiting:
+            first, *others = waiting
+            self._fetches[name] = Fetch(first.ident, {c.ident: None for c in others})
+            if not self._look(state, first, name):
+                calls.begin(state, first)
+
+    def keep(self, state: State, call: Call, body: bytes) -> None:
+        """Good bytes have come into memory, and the module ranked them for keeping."""
+        name = _name(call)
+        gone = self.kept.begin(name, len(body), state.now) if name is not None and body else None
+        if name is not None and gone is not None:
+            state.effects += [DropKept(old) for old in gone]
+            state.effects.append(StoreKept(name, body))
+
+    def adopt(self, state: State, result: Result) -> None:
+        """A large file has come whole, and lies where it belongs."""
+        name = read_name(result.spooled)
+        if name is not None:
+            state.effects += [DropKept(old) for old in self.kept.adopt(name, result.size)]
+
+    def discard(self, state: State, spooled: str) -> None:
+        name = read_name(spooled)
+        if name is not None and self.kept.drop(name):
+            state.effects.append(DropKept(name))
 
     def purge(self, state: State, obj: int, group: int) -> None:
         state.effects += [DropKept(name) for name in self.kept.purge(obj, group)]
@@ -50,19 +121,24 @@
                 pass
 
     def _read(self, state: State, event: KeptRead) -> None:
-        call = state.calls.get(event.call)
-        if event.body is None and self.kept.drop(event.name):
-            state.effects.append(DropKept(event.name))
+        call, name = state.calls.get(event.call), event.name
+        if not event.good and self.kept.drop(name):
+            state.effects.append(DropKept(name))
+        size = self.kept.sizes.get(name)
+        if event.good and size is not None:
+            self.kept.checked.add(name)
         if call is None or call.answered:
             return
-        if event.body is None or event.name not in self.kept.sizes:  # or purged while it was read
+        if not event.good or size is None:  # or purged while it was read
             return calls.begin(state, call)
         self.served += 1
-        unchanged = call.asked.held == event.name.digest
-        body, tag = b"" if unchanged else event.body, event.name.digest
-        calls.reply(state, call, Answer(Verdict.SERVED, body, unchanged, tag=tag, born=state.now))
-
-    def _name(self, call: Call) -> Name | None:
-        """What it asks for by digest: a file or its metadata; an index has none and is never on disk."""
-        asked = call.asked
-        return Name(asked.object, asked.digest) if asked.digest and not asked.write else None
+        answer = Answer(Verdict.SERVED, event.body, tag=name.digest, born=state.now)
+        if size >= self._large:
+            answer = replace(answer, spooled=str(name), size=size)
+        calls.reply(state, call, replace(answer, unchanged=call.asked.held == name.digest))
+
+
+def _name(call: Call) -> Name | None:
+    """What it asks for by digest: a file or its metadata; an index has none and is never on disk."""
+    asked = call.asked
+    return Name(asked.object, asked.digest) if asked.digest and not asked.write else None
--- a/hallproxy/run/repository.py
+++ b/hallproxy/run/repository.py
@@ -21,6 +21,7 @@
 from dataclasses import dataclass
 from email.utils import formatdate
 from functools import lru_cache
+from typing import BinaryIO
 
 from cachetools import LRUCache
 from tornado.iostream import StreamClosedError
@@ -46,7 +47,8 @@
 FORM = 256  # bytes that each takes beside its body
 VARY = "Accept, Accept-Encoding"
 UNSENT_MOST = 96 * 1024 * 1024  # bytes waiting for slow clients, all together
-WRITE = 60.0  # s for a client to take an answer
+WRITE = 60.0  # s for a client to take an answer, or a block of a file
+BLOCK = 262_144  # bytes of a file from disk in memory for each client
 PHRASES = {
     200: "OK", 206: "Partial Content", 301: "Moved Permanently", 304: "Not Modified", 400: "Bad Request",
     401: "Unauthorized", 403: "Forbidden", 404: "Not Found", 405: "Method Not Allowed", 406: "Not Acceptable",
@@ -91,12 +93,15 @@
 
 
 class Response:
-    """One answer, before it is written."""
+    """An answer to be written. With ``file``, ``size`` bytes of it from where it stands are the body."""
 
-    __slots__ = ("status", "fields", "body")
+    __slots__ = ("status", "fields", "body", "file", "size")
 
-    def __init__(self, status: int, body: bytes, fields: Mapping[str, str]) -> None:
+    def __init__(
+        self, status: int, body: bytes, fields: Mapping[str, str], file: BinaryIO | None = None, size: int = 0
+    ) -> None:
         self.status, self.body, self.fields = status, body, fields
+        self.file, self.size = file, size if file is not None else len(body)
 
 
 def plain(status: int, text: str, **more: str) -> Response:
@@ -134,6 +139,7 @@
         self, loop: Loop, most: int, indexes: simple.Remembered | None = None, routes: Routes | None = None
     ) -> None:
         self.loop = loop
+        self.open_file: Callable[[str], BinaryIO]  # of files kept on disk, where there are any
         self.routes = routes or Routes((), ())  # read anew with the deploy file
         self.tls: ssl.SSLContext | None = None  # towards clients; a reload's is for new connections
         self._indexes = indexes or simple.Remembered()
@@ -384,15 +390,24 @@
             return Response(304, b"", fields)
         fields["Content-Type"] = "application/octet-stream"
         asked = head.fields.get("range", "") if head.method == "GET" else ""
+        size = said.size if said.spooled else len(said.body)
+        status, first, end = 200, 0, size
         if asked and ranges.still_holds(head.fields.get("if-range", ""), digest):
-            part = ranges.wanted(asked, len(said.body))
+            part = ranges.wanted(asked, size)
             if isinstance(part, ranges.Unsatisfiable):
-                told = {"Content-Range": f"bytes */{len(said.body)}", "Accept-Ranges": "bytes"}
+                told = {"Content-Range": f"bytes */{size}", "Accept-Ranges": "bytes"}
                 return plain(416, "no byte of it lies in that range", **told)
             if part is not None:
                 fields["Content-Range"] = part.told
-                return Response(206, said.body[part.first : part.end], fields)
-        return Response(200, said.body, fields)
+                status, first, end = 206, part.first, part.end
+        if not said.spooled:
+            return Response(status, said.body[first:end] if status == 206 else said.body, fields)
+        try:
+            opened = await asyncio.to_thread(self.open_file, said.spooled)
+            opened.seek(first)
+        except OSError:  # it has left the directory between the answer and now
+            return plain(503, "the file is not kept any more: ask again", Retry_After="1")
+        return Response(status, b"", fields, opened, end - first)
 
     def _age(self, said: Answer) -> str:
         return str(max(0, self.loop.now() - said.born) // SECOND)
@@ -496,12 +511,31 @@
         lines += [f"{name}: {value}" for name, value in response.fields.items()]
         lines.append(f"Date: {_date(int(time.time()))}")
         if response.status != 304:
-            lines.append(f"Content-Length: {len(response.body)}")
+            lines.append(f"Content-Length: {response.size}")
         if not keeps:
             lines.append("Connection: close")
         head = "\r\n".join([*lines, "", ""]).encode()
         made = seat.made
+        if response.file is not None:
+            with response.file:
+                made.gather([head])
+                await self._taken(seat)
+                left = 0 if head_only else response.size
+                while left:
+                    # A block at a time, as the client takes them: a slow one holds a block and a file open.
+                    block = await asyncio.to_thread(response.file.read, min(left, BLOCK))
+                    if not block:
+                        raise StreamClosedError()  # cut short on disk: the client sees it break off
+                    left -= len(block)
+                    made.gather([block])
+                    await self._taken(seat)
+            return
         made.gather([head] if head_only or not response.body else [head, response.body])
+        await self._taken(seat)
+
+    async def _taken(self, seat: Seat) -> None:
+        """Until the client has taken all of it."""
+        made = seat.made
         if not made.writing():
             return
         # Backpressure: the next request is not read before this answer has left.
--- a/hallproxy/run/repository_config.py
+++ b/hallproxy/run/repository_config.py
@@ -16,6 +16,7 @@
 from hallproxy.wire import simple
 from hallproxy.wire.bench import settings_from_json
 
+MB = 1024 * 1024
 INDEX, PACKAGE = "index", "package"  # the classes that its settings must name
 KEYS = ("listen", "changelog", "contracts", "file_most_mb", "copies_mb", "absent_ms", "upstream", "route",
         "files", "tls_certificate", "tls_key", "settings")  # fmt: skip
@@ -31,6 +32,7 @@
     absent: int  # ns for which an answer "not there" holds
     files: Path | None  # where files are kept on disk; None: nowhere
     files_most: int  # bytes of them
+    files_large: int  # bytes from which a file is never held in memory
     upstreams: tuple[tuple[str, str], ...]  # id, address
     settings: i.Settings
     routes: Routes
@@ -55,16 +57,18 @@
         if not upstreams or len({ident for ident, _ in upstreams}) < len(upstreams):
             raise ConfigError("upstream needs at least one, each with an id of its own")
         contracts = top.get("contracts", "")
-        files = _files(top.get("files"))
+        file_most = _megabytes(top, "file_most_mb", 16)
+        files = _files(top.get("files"), file_most)
         return RepositoryConfig(
             listen=address(top["listen"]),
             changelog=address(top["changelog"]) if top.get("changelog") else None,
             contracts=path.parent / str(contracts) if contracts else None,
-            file_most=_megabytes(top, "file_most_mb", 16),
+            file_most=file_most,
             copies_most=_megabytes(top, "copies_mb", 64),
             absent=_milliseconds(top, "absent_ms", 1000, 60_000),
             files=path.parent / files[0] if files is not None else None,
             files_most=files[1] if files is not None else 0,
+            files_large=files[2] if files is not None else 0,
             upstreams=upstreams,
             settings=settings,
             routes=Routes(tuple(_rule(r) for r in top.get("route", [])), tuple(u for u, _ in upstreams)),
@@ -150,18 +154,23 @@
     return Rule(tuple(simple.normal(str(p)) if p else "" for p in projects), made)
 
 
-def _files(table: object) -> tuple[str, int] | None:
-    """``directory``, beside the deploy file, and ``most_mb``, up to 1,048,576."""
+def _files(table: object, file_most: int) -> tuple[str, int, int] | None:
+    """``directory``, beside the deploy file; ``most_mb``, to 1,048,576; ``large_mb``, to file_most_mb."""
     if table is None:
         return None
-    if not isinstance(table, dict) or set(table) != {"directory", "most_mb"}:
-        raise ConfigError("files knows directory and most_mb, and needs both")
+    if not isinstance(table, dict) or not {"directory", "most_mb"} <= set(table):
+        raise ConfigError("files needs directory and most_mb")
+    if unknown := set(table) - {"directory", "most_mb", "large_mb"}:
+        raise ConfigError(f"files knows no {sorted(unknown)[0]!r}")
     directory, most = table["directory"], table["most_mb"]
+    large = table.get("large_mb", min(4, file_most // MB))
+    if type(large) is not int or not 0 <= large * MB <= file_most:
+        raise ConfigError(f"files: large_mb is {large!r}, not from 0 to file_most_mb")
     if not isinstance(directory, str) or not directory:
         raise ConfigError(f"files: directory is {directory!r}")
     if type(most) is not int or not 1 <= most <= 1024 * 1024:
         raise ConfigError(f"files: most_mb is {most!r}, not from 1 to 1048576")
-    return directory, most * 1024 * 1024
+    return directory, most * MB, large * MB
 
 
 def _milliseconds(top: dict[str, object], key: str, default: int, most: int) -> int:
--- a/hallproxy/run/repository_main.py
+++ b/hallproxy/run/repository_main.py
@@ -14,6 +14,7 @@
 from hallproxy.files.disk import Disk, DiskError
 from hallproxy.files.kept import Kept
 from hallproxy.files.part import Files
+from hallproxy.files.spool import Spools
 from hallproxy.logic import Router, check
 from hallproxy.run.changelog import Poller
 from hallproxy.run.config import ConfigError
@@ -72,7 +73,7 @@
     kept = Kept(config.files_most)
     for name in kept.recover(disk.list()):
         disk.remove(name)
-    loop.state.files = Files(kept)
+    loop.state.files = Files(kept, config.files_large)
     loop.other = disk.do
     disk.attach(loop)
     say(f"files: {len(kept.sizes)} kept, {kept.held} bytes")
@@ -83,9 +84,12 @@
     loop = Loop(new_state(config))
     disk = _disk(config, loop)
     upstream = Upstream(config.file_most, (where for _, where in config.upstreams), config.ways)
-    loop.stores = HttpStores(loop, upstream)
+    loop.stores = stores = HttpStores(loop, upstream)
     loop.bring(_members(config, loop.now()))
     front = Repository(loop, CONNECTIONS, upstream.indexes, config.routes)
+    if disk is not None and config.files is not None:
+        front.open_file = disk.open
+        stores.spools = Spools(config.files, config.files_most, config.files_large)
     front.tls = config.tls
     contracts = Watch(config.contracts, loop, front) if config.contracts is not None else None
     if contracts is not None:
@@ -119,7 +123,8 @@
             raise ConfigError("TLS towards clients where there was none, or none any more, needs a restart")
         if (new.changelog is None) != (poller is None):
             raise ConfigError("a change log where there was none, or none any more, needs a restart")
-        if (new.files, new.files_most) != (config.files, config.files_most):
+        told = new.files, new.files_most, new.files_large
+        if told != (config.files, config.files_most, config.files_large):
             raise ConfigError("other files on disk need a restart")
         check(new.settings)
         upstream.configure(new.file_most, (where for _, where in new.upstreams), new.ways)
--- a/hallproxy/run/stores.py
+++ b/hallproxy/run/stores.py
@@ -5,7 +5,7 @@
 import asyncio
 import socket
 import ssl
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from tornado.iostream import StreamClosedError
 
@@ -13,9 +13,12 @@
 from hallproxy.run.loop import Loop, say
 from hallproxy.run.sockets import Budget, Buffer, Stream, stream, tls_stream
 from hallproxy.state.effects import Order, Send
-from hallproxy.state.events import Answered, LinkDown, LinkUp, Result
+from hallproxy.state.events import Answered, LinkDown, LinkUp, Reason, Result
 from hallproxy.wire.http1 import Head, HttpError, chunk_size, response_head
 
+if TYPE_CHECKING:  # a part that the platform's gateway is without
+    from hallproxy.files.spool import Spools, Transfer
+
 OFF_LOOP = 262_144  # bytes of a body from which it is read in a thread; the platform's are smaller
 CHUNKED = 1024 * 1024  # bytes that a body of untold length is taken to hold
 INTERIM_MOST = 8  # heads ahead of a final answer's, that one included
@@ -48,6 +51,7 @@
         self._streams: dict[int, Stream] = {}
         self._hosts: dict[int, str] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self.spools: Spools | None = None  # None: every body is taken into memory
         self._refused: dict[str, int] = {}  # by host: the refusal last told of; as many as there are hosts
 
     def open(self, link: int, host: str) -> None:
@@ -68,6 +72,8 @@
         if made is None:
             return  # it has just broken: its LinkDown is on the way
         order = effect.order
+        if self.spools is not None:
+            order = self.spools.ask_on(order, self._hosts[link])
         if made.stale():
             # Closed, reset or spoken on while it idled: nothing has gone out, so it may go elsewhere.
             self.close(link)
@@ -134,6 +140,10 @@
         pause = self._speech.pause
         head = await read_head(made, buffer, pause)
         self._told_refusal(host, head.status)
+        if self.spools is not None:
+            transfer = self.spools.begin(self._orders[link][0], head, host)
+            if transfer is not None:
+                return await self._spooled(link, made, buffer, head, transfer)
         size = min(CHUNKED if head.length is None else head.length, self._speech.most)
         await self._budget.take(size)
         try:
@@ -158,6 +168,19 @@
             self._budget.give(size)
 
 
+    async def _spooled(
+        self, link: int, made: Stream, buffer: Buffer, head: Head, transfer: Transfer
+    ) -> bool:
+        """A large body goes to the disk as it comes; what holds it there is the answer."""
+        result = await transfer.receive(made, buffer, self._speech.pause, self._loop.now)
+        asked = self._orders.pop(link, None) is not None
+        # A disk that failed has left bytes of this body unread.
+        whole = result.reason is not Reason.BUSY
+        reusable = asked and whole and head.keeps and not buffer.filled and not made.closed()
+        self._loop.bring(Answered(self._loop.now(), link, result, reusable))
+        return reusable
+
+
 REFUSALS = (401, 403, 407)  # who asks is not let in: the operator's credentials, not the store's health
 
 
--- a/hallproxy/state/calls.py
+++ b/hallproxy/state/calls.py
@@ -159,7 +159,7 @@
 def keep(state: State, call: Call, get: i.Get, result: Result) -> None:
     """Keep what the module ranks for keeping, unless a purge has overtaken it on its way here."""
     asked = call.asked
-    if not get.keep or asked.write or result.unchanged or not result.born:
+    if not get.keep or asked.write or result.unchanged or not result.born or result.spooled:
         return
     if result.born <= state.purges.last(asked.object, asked.group):
         return
@@ -170,6 +170,8 @@
 def left(state: State, caller: int) -> None:
     """Nobody waits any more: no answer is owed, and what is out for it is given up."""
     call = state.callers.pop(caller, None)
+    if call is not None and state.files is not None and state.files.left(state, call):
+        return  # others wait for the same bytes
     if call is not None:
         call.answered = True
         if state.broker is not None:
@@ -191,11 +193,14 @@
     if call.answered:
         return
     call.answered = True
-    del state.callers[call.caller]
+    state.callers.pop(call.caller, None)  # its client may have left, while others wait for the same bytes
     if state.broker is not None:
-        state.broker.over(call.ident, answer.verdict.value, answer.reason.value, len(answer.body), state.now)
+        size = answer.size or len(answer.body)
+        state.broker.over(call.ident, answer.verdict.value, answer.reason.value, size, state.now)
     state.effects.append(Reply(call.caller, answer))
     forget(state, call)
+    if state.files is not None:
+        state.files.over(state, call, answer)
 
 
 def refuse(state: State, ident: int, retry_after: int) -> None:
--- a/hallproxy/state/effects.py
+++ b/hallproxy/state/effects.py
@@ -45,6 +45,9 @@
     renew: bool = False
     digest: str = ""
     validator: str = ""  # of the copy held here: bytes are wanted only if it is another by now
+    object: int = 0
+    range_from: int = 0  # the bytes ahead of this one are here already...
+    if_range: str = ""  # ...and belong to what the source calls so
 
 
 @dataclass(slots=True, frozen=True)
--- a/hallproxy/state/events.py
+++ b/hallproxy/state/events.py
@@ -48,6 +48,8 @@
     born: int = 0  # ns; when the origin gave out what is served
     reason: Reason = Reason.NONE
     stale: bool = False  # past its fresh time: nothing younger was to be had
+    spooled: str = ""  # the kept file that holds the bytes, in place of the body
+    size: int = 0  # bytes of that file
 
 
 @dataclass(slots=True, frozen=True)
@@ -119,6 +121,8 @@
     reason: Reason = Reason.NONE
     validator: str = ""  # what the source calls this state of it, to ask by condition next time
     renewed: bool = False  # the copy held here is still the one; it came without bytes
+    spooled: str = ""  # the kept file that holds the bytes, in place of the body
+    size: int = 0  # bytes of that file
 
 
 @dataclass(slots=True, frozen=True)
--- a/hallproxy/state/links.py
+++ b/hallproxy/state/links.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from hallproxy import interface as i
 from hallproxy.state import calls, teams
 from hallproxy.state.effects import Close, Open, Order, Send, Wake
@@ -111,12 +113,15 @@
         renew=bool(how & i.How.RENEW),
         digest=asked.digest,
         validator=one.validator,
+        object=asked.object,
     )
     state.effects.append(Send(link.ident, order))
 
 
 def answered(state: State, event: Answered) -> None:
     link = state.links.get(event.link)
+    if state.files is not None and event.result.spooled:
+        state.files.adopt(state, event.result)
     if link is None:
         return
     one = link.attempt
@@ -132,6 +137,8 @@
         asked = state.calls[one.request].asked
         if result.born <= state.purges.last(asked.object, asked.group):
             # Older than a purge heard meanwhile, or held by a cache on the way: asked for again.
+            if state.files is not None and result.spooled:
+                state.files.discard(state, result.spooled)
             result = Result(i.Status.MISS, reason=Reason.BUSY)
     _over(state, one, result.status, result)
 
@@ -248,6 +255,8 @@
         teams.attempt_over(state, state.broker, call, one, status)
     if status is i.Status.OK and result is not None:
         answer = Answer(Verdict.SERVED, result.body, result.unchanged, tag=result.tag, born=result.born)
+        if result.spooled:
+            answer = replace(answer, spooled=result.spooled, size=result.size)
         calls.reply(state, call, answer)
         calls.keep(state, call, one.get, result)
         if state.files is not None and one.get.keep and not result.unchanged:
--- a/hallproxy/wire/simple.py
+++ b/hallproxy/wire/simple.py
@@ -580,6 +580,8 @@
             lines.append(f"Accept: {JSON}, {HTML};q=0.2, {PLAIN_HTML};q=0.1")
         if order.validator:
             lines.append(f"If-None-Match: {order.validator}")
+        if order.range_from:
+            lines += [f"Range: bytes={order.range_from}-", f"If-Range: {order.if_range}"]
         if order.max_age:
             # After a purge: nothing that a cache on the way has held since before it.
             lines.append(f"Cache-Control: max-age={order.max_age // SECOND}")
