The second front has a package of its own: speech, serving, configuration, start and stop

Moved, with no change of behaviour: run/repository*.py, run/turnaway.py, wire/simple.py, wire/ranges.py, wire/codings.py to hallproxy/repository/. run/ keeps what both fronts share, and the platform's front.

--- a/hallproxy/run/repository_config.py
+++ b/hallproxy/repository/config.py
@@ -11,9 +11,9 @@
 from pathlib import Path
 
 from hallproxy import interface as i
+from hallproxy.repository import simple
 from hallproxy.routes import RouteError, Routes, Rule
 from hallproxy.run.config import Address, ConfigError, address, read_toml
-from hallproxy.wire import simple
 from hallproxy.wire.bench import settings_from_json
 
 MB = 1024 * 1024
--- a/hallproxy/run/repository.py
+++ b/hallproxy/repository/front.py
@@ -28,14 +28,14 @@
 
 from hallproxy.broker.networks import neighbourhood
 from hallproxy.broker.places import Places
+from hallproxy.repository import codings, ranges, simple
+from hallproxy.repository.config import INDEX, PACKAGE
+from hallproxy.repository.turnaway import NO_ROOM, TurnAway
 from hallproxy.routes import Route, Routes, Tier
 from hallproxy.run.contracts import Applied
 from hallproxy.run.loop import Loop, say
-from hallproxy.run.repository_config import INDEX, PACKAGE
 from hallproxy.run.sockets import Buffer, Stream, TlsStream, stream, tls_accepted
-from hallproxy.run.turnaway import NO_ROOM, TurnAway
 from hallproxy.state.events import Answer, Arrived, Asked, CallerLeft, Lagged, Reason, Verdict
-from hallproxy.wire import codings, ranges, simple
 from hallproxy.wire.http1 import Head, HttpError, request_head
 
 SECOND = 1_000_000_000
--- a/hallproxy/run/repository_main.py
+++ b/hallproxy/repository/serve.py
@@ -16,18 +16,18 @@
 from hallproxy.files.part import Files
 from hallproxy.files.spool import Spools
 from hallproxy.logic import Router, check
+from hallproxy.repository.config import RepositoryConfig, load
+from hallproxy.repository.front import Repository
+from hallproxy.repository.simple import Upstream
 from hallproxy.run.changelog import Poller
 from hallproxy.run.config import ConfigError
 from hallproxy.run.contracts import Applied, ContractError, in_force, read_applied
 from hallproxy.run.loop import Loop, say
-from hallproxy.run.repository import Repository
-from hallproxy.run.repository_config import RepositoryConfig, load
 from hallproxy.run.signals import Signals
 from hallproxy.run.stores import HttpStores
 from hallproxy.state.bounds import MB, Bounds
 from hallproxy.state.events import ContractsTold, MembersTold, NewsHeard, Reconfigured
 from hallproxy.state.model import State
-from hallproxy.wire.simple import Upstream
 
 CONNECTIONS = 256
 SECOND = 1_000_000_000
--- a/hallproxy/wire/simple.py
+++ b/hallproxy/repository/simple.py
@@ -25,9 +25,9 @@
 from urllib.parse import quote, unquote, urldefrag, urljoin, urlsplit
 
 from hallproxy import interface as i
+from hallproxy.repository import codings
 from hallproxy.state.effects import Order
 from hallproxy.state.events import Reason, Result
-from hallproxy.wire import codings
 from hallproxy.wire.http1 import Head
 
 SECOND = 1_000_000_000
--- a/hallproxy/run/main.py
+++ b/hallproxy/run/main.py
@@ -212,10 +212,11 @@
                 _usage(args)
             case "repository":
                 # Imported here: the platform's gateway must not pay for what the second front needs.
-                from hallproxy.run import repository_config, repository_main
+                from hallproxy.repository import config as repository_config
+                from hallproxy.repository import serve as repository
 
                 settled = repository_config.load(args.file)
-                asyncio.run(_until_stopped(partial(repository_main.serve, args.file, settled)))
+                asyncio.run(_until_stopped(partial(repository.serve, args.file, settled)))
             case _:
                 asyncio.run(_until_stopped(partial(serve, load(os.environ), args.teams)))
     except (ConfigError, ContractError, SettingsError, ChangeError) as error:
--- a/tests/test_conformance.py
+++ b/tests/test_conformance.py
@@ -15,7 +15,7 @@
 from hypothesis import strategies as st
 
 from hallproxy.lab import conformance
-from hallproxy.wire import codings, ranges, simple
+from hallproxy.repository import codings, ranges, simple
 from tests.gateway import Seen, response
 from tests.test_repository import PROJECT, Front, sha
 
@@ -182,14 +182,14 @@
 
 
 def test_forms_are_kept_within_their_bound(tmp_path: Path) -> None:
-    from hallproxy.run import repository_config, repository_main
+    from hallproxy.repository import config, serve
+    from hallproxy.repository.front import FORMS_MOST, Repository
     from hallproxy.run.loop import Loop
-    from hallproxy.run.repository import FORMS_MOST, Repository
     from hallproxy.state.events import Answer, Verdict
     from tests.test_repository import DEPLOY
 
     (tmp_path / "r.toml").write_text(DEPLOY)
-    loop = Loop(repository_main.new_state(repository_config.load(tmp_path / "r.toml")))
+    loop = Loop(serve.new_state(config.load(tmp_path / "r.toml")))
     made = Repository(loop, 10)
     index = simple.Index("p", tuple(simple.File(f"f-{n}.whl", "/x", "a" * 64) for n in range(2000)))
     for n in range(200):
--- a/tests/test_degraded.py
+++ b/tests/test_degraded.py
@@ -5,11 +5,11 @@
 import pytest
 
 from hallproxy import interface as i
+from hallproxy.repository import simple
 from hallproxy.state import calls, effects, events
 from hallproxy.state.absent import Absent
 from hallproxy.state.bounds import Bounds
 from hallproxy.state.copies import Copy
-from hallproxy.wire import simple
 from tests.gateway import Seen, response, until
 from tests.test_repository import DEPLOY, PROJECT, Front
 from tests.test_state import MS, SECOND, Core
@@ -134,8 +134,8 @@
 
 @pytest.mark.parametrize("text", ["absent_ms = -1", "absent_ms = 60_001", 'absent_ms = "1"'])
 def test_a_time_out_of_range_is_one_plain_line(front: Front, text: str) -> None:
+    from hallproxy.repository.config import load
     from hallproxy.run.config import ConfigError
-    from hallproxy.run.repository_config import load
 
     (front.path / "bad.toml").write_text(DEPLOY.replace("absent_ms = 1000", text))
     with pytest.raises(ConfigError, match="absent_ms"):
--- a/tests/test_files.py
+++ b/tests/test_files.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from hallproxy.files.kept import LARGEST, PAUSE, WRITES, Found, Kept, Name, read_name
-from hallproxy.wire import simple
+from hallproxy.repository import simple
 from tests.gateway import ROOT, Program, until
 from tests.test_repository import DEPLOY, PROJECT, Front, serving, sha
 
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from hallproxy.wire import changelog, frames, http1, simple, stores
+from hallproxy.repository import simple
+from hallproxy.wire import changelog, frames, http1, stores
 from hallproxy.wire.bench import settings_from_json
 from tests.gateway import platform_settings
 
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -21,8 +21,8 @@
 
 import pytest
 
+from hallproxy.repository import simple
 from hallproxy.run import contracts
-from hallproxy.wire import simple
 from tests.gateway import ROOT, ChangeLog, Http, Program, Seen, now_ms, response, until
 
 DEPLOY = (ROOT / "deploy" / "repository.toml").read_text()
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -9,10 +9,10 @@
 
 import pytest
 
+from hallproxy.repository import simple
+from hallproxy.repository.config import load
 from hallproxy.routes import RouteError, Routes, Rule
 from hallproxy.run.config import ConfigError
-from hallproxy.run.repository_config import load
-from hallproxy.wire import simple
 from tests.gateway import response, until
 from tests.test_repository import DEPLOY, PROJECT, Front, Stand, serving, sha
 
--- a/tests/test_team_fronts.py
+++ b/tests/test_team_fronts.py
@@ -16,8 +16,9 @@
 import pytest
 
 from hallproxy.lab import teams as lab
+from hallproxy.repository import simple
 from hallproxy.run import contracts
-from hallproxy.wire import frames, simple
+from hallproxy.wire import frames
 from tests.gateway import ROOT, Platform, until
 from tests.test_repository import PROJECT, Front, auth
 
--- a/tests/test_upstream_tls.py
+++ b/tests/test_upstream_tls.py
@@ -15,9 +15,9 @@
 import pytest
 import trustme
 
+from hallproxy.repository import simple
+from hallproxy.repository.config import load
 from hallproxy.run.config import ConfigError
-from hallproxy.run.repository_config import load
-from hallproxy.wire import simple
 from tests.gateway import until
 from tests.test_repository import DEPLOY, PROJECT, Front, Stand
 
