A parent's part that rounding leaves is no part: two zones filled from the far parent alone

From 10 s on 8804 (21.5 of 51) times out, 10 to 20 a second in each zone, to the end. Then _pick_source sorts by -log(u) over a part below nothing, which comes first of all. Ruled out: benched or slow near parent (its first fills, at 2 s, went the same way), the split between hubs (15 and 14 of 40, as they should be).

Now what is wanted never goes under nothing, and a part needs more than rounding leaves.

--- a/hallproxy/logic.py
+++ b/hallproxy/logic.py
@@ -785,16 +785,16 @@
                     for hub in hubs for p in near[hub]]  # fmt: skip
             asked = {p: sum(ask for _, q, ask in asks if q is p) for p in parents}
             for hub, p, ask in asks:
-                wanted[hub] -= (given := ask * min(1.0, room[p] / (asked[p] or 1.0)))
-                p.part += given if hub == s.zone_hub[s.zone] else 0.0
+                given = ask * min(1.0, room[p] / (asked[p] or 1.0))
+                wanted[hub] = max(0.0, wanted[hub] - given)  # what is left by rounding alone is no part
+                p.part += given if hub == s.zone_hub[s.zone] and given > 1e-6 else 0.0
             room = {p: max(0.0, room[p] - asked[p]) for p in parents}
             tiers += [tier] if (tier := near[s.zone_hub[s.zone]]) else []
         return tiers
 
     def _steps(self, hubs: list[int], parent: Peer, hub: int) -> int:
         """The way from a parent to a hub, along the ring that hubs stand in."""
-        at = parent.member.zone
-        steps = abs(hubs.index(at) - hubs.index(hub)) if at in hubs else 0
+        steps = abs(hubs.index(at) - hubs.index(hub)) if (at := parent.member.zone) in hubs else 0
         return min(steps, len(hubs) - steps)
 
     def _log(self, kind: str, text: str) -> None:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -168,6 +168,18 @@
     assert shares(3, equal) == {b"small": 0.5, b"other": 0.5}
 
 
+@pytest.mark.parametrize("zone", [3, 6])
+def test_what_rounding_leaves_of_a_zone_s_fills_is_no_part_of_them(zone: int) -> None:
+    """A part of less than nothing came first in the order: two zones filled from the far parent alone."""
+    far = Member(b"far", State.READY, kind=1, zone=0, weight=21.5)
+    near = Member(b"near", State.READY, kind=1, zone=2, weight=29.5)
+    hubs, routers = (0, 1, 2, 2, 0, 1, 2, 0, 1), (0, 0, 0, 7, 5, 6, 7, 10, 5)
+    caches = [replace(c, zone=zone) for c in CACHES]
+    d = Driver(fleet=[*caches, far, near, ORIGIN], zone=zone, zone_hub=hubs, zone_routers=routers, routers=40)
+    assert {d.first(obj=obj, size=1.0).source for obj in range(1, 100)} == {b"near"}
+    assert all(p.part >= 0.0 for p in d.router.peers.values())
+
+
 def test_a_near_parent_over_twice_the_lowest_first_byte_time_gets_no_fills() -> None:
     d = Driver()
     fast, slow = (d.router.peers[p.server] for p in NEAR)
