The second front's measurements share one stand-in upstream and one way to start a front

lab/files.py had copied both from lab/index.py; lab/standin.py serves the two. Both commands run as before.

--- a/hallproxy/lab/files.py
+++ b/hallproxy/lab/files.py
@@ -13,58 +13,14 @@
 import http.client
 import json
 import re
-import subprocess
 import sys
 import tempfile
 import threading
 import time
-from collections.abc import Iterator, Sequence
-from contextlib import contextmanager
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from collections.abc import Sequence
 from pathlib import Path
 
-ROOT = Path(__file__).parents[2]
-JSON = "application/vnd.pypi.simple.v1+json"
-
-
-class Stand(BaseHTTPRequestHandler):
-    bodies: dict[str, bytes] = {}
-    protocol_version = "HTTP/1.1"
-    wbufsize = -1  # head and body in one write, or each answer waits for an acknowledgement of its head
-    asked = 0
-
-    def do_GET(self) -> None:
-        name = self.path.strip("/").split("/")[-1]
-        body = self.bodies.get(name, b"")
-        Stand.asked += name.endswith(".whl")
-        self.send_response(200 if body else 404)
-        self.send_header("Content-Type", JSON)
-        self.send_header("Content-Length", str(len(body)))
-        self.end_headers()
-        self.wfile.write(body)
-
-    def log_message(self, format: str, *args: object) -> None:
-        pass
-
-
-@contextmanager
-def front(where: Path, text: str) -> Iterator[int]:
-    """A front with that deploy file; its port."""
-    (where / "r.toml").write_text(text)
-    process = subprocess.Popen(
-        [sys.executable, "-m", "hallproxy", "repository", str(where / "r.toml")],
-        stderr=subprocess.PIPE,
-        text=True,
-        cwd=ROOT,
-    )
-    assert process.stderr is not None
-    said_so = next(line for line in process.stderr if " listens on " in line)
-    threading.Thread(target=process.stderr.read, daemon=True).start()
-    try:
-        yield int(said_so.rsplit(":", 1)[1])
-    finally:
-        process.terminate()
-        process.wait(timeout=15)
+from hallproxy.lab.standin import JSON, Stand, front, upstream
 
 
 def urls(port: int) -> list[str]:
@@ -102,22 +58,18 @@
     parser.add_argument("--clients", type=int, nargs="+", default=[1, 4])
     args = parser.parse_args(argv)
     names = [f"many-1.{n}-py3-none-any.whl" for n in range(args.files)]
-    Stand.bodies = {name: bytes([n % 256]) * args.kb * 1000 for n, name in enumerate(names)}
+    bodies = {name: bytes([n % 256]) * args.kb * 1000 for n, name in enumerate(names)}
     entries = [
         {
             "filename": n,
             "url": f"/pool/{n}",
-            "hashes": {"sha256": hashlib.sha256(Stand.bodies[n]).hexdigest()},
+            "hashes": {"sha256": hashlib.sha256(bodies[n]).hexdigest()},
         }
         for n in names
     ]
     top = {"meta": {"api-version": "1.0"}, "name": "many", "files": entries}
-    Stand.bodies["many"] = json.dumps(top).encode()
-    server = ThreadingHTTPServer(("127.0.0.1", 0), Stand)
-    threading.Thread(target=server.serve_forever, daemon=True).start()
-    text = (ROOT / "deploy" / "repository.toml").read_text()
-    text = text.replace('listen = "127.0.0.1:8081"', 'listen = "127.0.0.1:0"')
-    text = text.replace('address = "127.0.0.1:8082"', f'address = "127.0.0.1:{server.server_address[1]}"')
+    bodies["many"] = json.dumps(top).encode()
+    text = upstream(bodies)
     none = re.sub(r"copies_mb = \d+", "copies_mb = 0", text)
     disk = text.replace("[[upstream]]", '[files]\ndirectory = "kept"\nmost_mb = 4096\n\n[[upstream]]', 1)
     shown: dict[str, dict[str, float]] = {}
--- a/hallproxy/lab/index.py
+++ b/hallproxy/lab/index.py
@@ -15,17 +15,14 @@
 import json
 import re
 import socket
-import subprocess
 import sys
 import tempfile
 import threading
 import time
 from collections.abc import Sequence
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 
-ROOT = Path(__file__).parents[2]
-JSON = "application/vnd.pypi.simple.v1+json"
+from hallproxy.lab.standin import JSON, Stand, front, upstream
 
 
 def body_of(project: str, files: int) -> bytes:
@@ -45,22 +42,6 @@
     return json.dumps(top).encode()
 
 
-class Stand(BaseHTTPRequestHandler):
-    bodies: dict[str, bytes] = {}
-    protocol_version = "HTTP/1.1"
-
-    def do_GET(self) -> None:
-        body = self.bodies.get(self.path.strip("/").split("/")[-1], b"")
-        self.send_response(200 if body else 404)
-        self.send_header("Content-Type", JSON)
-        self.send_header("Content-Length", str(len(body)))
-        self.end_headers()
-        self.wfile.write(body)
-
-    def log_message(self, format: str, *args: object) -> None:
-        pass
-
-
 def ask(made: http.client.HTTPConnection, project: str, coding: str = "identity") -> int:
     made.request("GET", f"/simple/{project}/", headers={"Accept": JSON, "Accept-Encoding": coding})
     said = made.getresponse()
@@ -76,28 +57,11 @@
     parser.add_argument("--seconds", type=float, default=5.0)
     parser.add_argument("--large", action="store_true", help="what one large index costs the others")
     args = parser.parse_args(argv)
-    Stand.bodies = {"many": body_of("many", args.files), "small": body_of("small", 10)}
-    server = ThreadingHTTPServer(("127.0.0.1", 0), Stand)
-    threading.Thread(target=server.serve_forever, daemon=True).start()
-    text = (ROOT / "deploy" / "repository.toml").read_text()
-    text = text.replace('listen = "127.0.0.1:8081"', 'listen = "127.0.0.1:0"')
-    text = text.replace('address = "127.0.0.1:8082"', f'address = "127.0.0.1:{server.server_address[1]}"')
+    text = upstream({"many": body_of("many", args.files), "small": body_of("small", 10)})
     text = re.sub(r"file_most_mb = \d+", "file_most_mb = 128", text)
     text = text.replace("deadline_ns = 5_000_000_000", "deadline_ns = 30_000_000_000")
-    with tempfile.TemporaryDirectory() as name:
-        (Path(name) / "r.toml").write_text(text)
-        front = subprocess.Popen(
-            [sys.executable, "-m", "hallproxy", "repository", f"{name}/r.toml"], stderr=subprocess.PIPE,
-            text=True, cwd=ROOT,
-        )  # fmt: skip
-        assert front.stderr is not None
-        said_so = next(line for line in front.stderr if " listens on " in line)
-        port = int(said_so.rsplit(":", 1)[1])
-        try:
-            said = _large(port) if args.large else _rate(port, args.seconds)
-        finally:
-            front.terminate()
-            front.wait(timeout=15)
+    with tempfile.TemporaryDirectory() as name, front(Path(name), text) as port:
+        said = _large(port) if args.large else _rate(port, args.seconds)
     print(json.dumps({"files": args.files, "bytes": len(Stand.bodies["many"])} | said))
     return 0
 
