With no descriptor left the poll, the listener and store connections recover

Reproduced on a running process whose descriptor limit was taken to 0 for a while (tests/test_descriptors.py): the change log's connection broke then, and nothing of the log was ever heard again; the listener wrote tracebacks at the loop's full speed; requests for a store were counted as refused connects.

At fault: Poller.run made its socket ahead of its try, so the EMFILE ended the task for good; tornado's accept handler lets EMFILE out of the callback while the socket stays readable; HttpStores.open told a plain LinkDown. Bounds count the system's own limit where it is lower than the file's. Both fronts use the listener.

--- a/hallproxy/repository/front.py
+++ b/hallproxy/repository/front.py
@@ -186,7 +186,13 @@
         """Close the connection that has idled longest, of a network over its share, for one under it."""
         if self.places.over(network):
             return False
-        seat = next((s for s in self._idle if self.places.over(s.network)), None)
+        return self._close_idle(next((s for s in self._idle if self.places.over(s.network)), None))
+
+    def close_idle(self) -> bool:
+        """Close the connection that has idled longest, whoever's it is; whether there was one."""
+        return self._close_idle(next(iter(self._idle), None))
+
+    def _close_idle(self, seat: Seat | None) -> bool:
         if seat is None:
             return False
         del self._idle[seat]
--- a/hallproxy/repository/serve.py
+++ b/hallproxy/repository/serve.py
@@ -8,7 +8,7 @@
 import socket
 from pathlib import Path
 
-from tornado.netutil import add_accept_handler, bind_sockets
+from tornado.netutil import bind_sockets
 
 from hallproxy import interface as i
 from hallproxy.files.disk import Disk, DiskError
@@ -22,6 +22,7 @@
 from hallproxy.run.changelog import Poller
 from hallproxy.run.config import ConfigError
 from hallproxy.run.contracts import Applied, ContractError, in_force, read_applied
+from hallproxy.run.listener import Listener
 from hallproxy.run.loop import Loop, say
 from hallproxy.run.signals import Signals
 from hallproxy.run.stores import HttpStores
@@ -103,14 +104,14 @@
         poller = Poller(loop, config.changelog, 0)
         tasks.append(asyncio.ensure_future(poller.run()))
     host, port = config.listen
-    listeners = bind_sockets(port, host, family=socket.AF_INET, backlog=1024)
-    for sock in listeners:
+    socks = bind_sockets(port, host, family=socket.AF_INET, backlog=1024)
+    for sock in socks:
         # A connection is worth looking at once it has said something; a silent one comes a while later.
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, 1)
-    stops = [add_accept_handler(sock, front.accept) for sock in listeners]
+    listeners = [Listener(sock, front.accept, front.close_idle) for sock in socks]
     gc.collect()
     gc.freeze()  # what is there at the start is for good: no full collection looks at it again
-    say(f"repository listens on {host}:{listeners[0].getsockname()[1]}")
+    say(f"repository listens on {host}:{listeners[0].sock.getsockname()[1]}")
 
     def reload() -> None:
         """Take the deploy file as it is now; one that can't be used changes nothing."""
@@ -137,10 +138,8 @@
 
     tasks.append(asyncio.ensure_future(signals.reloads(reload)))
     await signals.stopped.wait()
-    for stop in stops:
-        stop()
-    for sock in listeners:
-        sock.close()
+    for listener in listeners:
+        listener.close()
     until = asyncio.get_running_loop().time() + STOP_IN
     front.stopping = True
     # Not the core's requests: between the two that a file takes there is none open.
--- a/hallproxy/run/changelog.py
+++ b/hallproxy/run/changelog.py
@@ -64,8 +64,10 @@
         """Poll for ever. Whatever fails is tried again; what was held is not lost by it."""
         while True:
             where, began = self._where, asyncio.get_running_loop().time()
-            self._made = made = stream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+            made = None
             try:
+                # In here too: with no descriptor left this fails, and the poll must outlive that.
+                self._made = made = stream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
                 await asyncio.wait_for(made.connect(where), CONNECT_IN)
                 buffer = Buffer()
                 while await self._poll(made, buffer):
@@ -74,7 +76,8 @@
                 if where == self._where:
                     say(f"change log: {type(error).__name__} {error}")
             finally:
-                made.close()
+                if made is not None:
+                    made.close()
             # A poll that broke or went silent is asked again at once, as what it would have told counts as
             # told; a log that takes connections and ends them, or takes none, is not asked without pause.
             if where == self._where:
--- a/hallproxy/run/clients.py
+++ b/hallproxy/run/clients.py
@@ -171,7 +171,7 @@
         """Whether all clients together leave more unread than there is memory for."""
         return sum(c.unsent for c in self.connections) > self.loop.state.bounds.unsent
 
-    def _make_room(self) -> bool:
+    def make_room(self) -> bool:
         """Close one that has nothing open: who has long said nothing at all, else who has been quiet longest.
 
         What crosses such a close is sent again by its client; a connection turned away is a request failed.
@@ -189,7 +189,7 @@
         return longest is not None
 
     def accept(self, sock: socket.socket, peer: tuple[str, int]) -> None:
-        if len(self.connections) >= self.loop.state.bounds.callers and not self._make_room():
+        if len(self.connections) >= self.loop.state.bounds.callers and not self.make_room():
             # Guards the descriptors: the front keeps to a third of them, so this is no client of ours.
             sock.close()
             return
--- a/hallproxy/run/main.py
+++ b/hallproxy/run/main.py
@@ -7,6 +7,7 @@
 import gc
 import json
 import os
+import resource
 import signal
 import sys
 from collections.abc import Callable, Coroutine, Sequence
@@ -14,7 +15,7 @@
 from pathlib import Path
 from typing import Any
 
-from tornado.netutil import add_accept_handler, bind_sockets
+from tornado.netutil import bind_sockets
 
 from hallproxy.interface import SettingsError
 from hallproxy.logic import Router, check
@@ -23,6 +24,7 @@
 from hallproxy.run.clients import Clients
 from hallproxy.run.config import Config, ConfigError, load
 from hallproxy.run.contracts import ContractError
+from hallproxy.run.listener import Listener
 from hallproxy.run.loop import Loop, say
 from hallproxy.run.signals import Signals
 from hallproxy.run.stores import HttpStores
@@ -47,10 +49,13 @@
     idle_close = config.settings.idle_close
     memory = config.memory_mb * MB
     spare = max(4 * MB, memory - BASE)
-    callers = config.sockets * 2 // 5
+    # The system's own limit counts where it is lower: what is over it can't be opened whatever the file says.
+    limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    sockets = config.sockets if limit == resource.RLIM_INFINITY else min(config.sockets, limit)
+    callers = sockets * 2 // 5
     return Bounds(
         callers=callers,
-        links=max(8, config.sockets - callers - RESERVE),
+        links=max(8, sockets - callers - RESERVE),
         calls=min(4_000, spare // CALL),
         bodies=spare // 4,
         unsent=spare // 5,
@@ -82,18 +87,17 @@
         tasks.append(asyncio.ensure_future(poller.run()))
         await poller.current()
     host, port = config.listen
-    listeners = bind_sockets(port, host, backlog=512)
-    stops: list[Callable[[], None]] = [add_accept_handler(sock, clients.accept) for sock in listeners]
+    listeners = [
+        Listener(sock, clients.accept, clients.make_room) for sock in bind_sockets(port, host, backlog=512)
+    ]
 
     def deaf() -> None:
-        for stop in stops:
-            stop()
-        for sock in listeners:
-            sock.close()
+        for listener in listeners:
+            listener.close()
 
     gc.collect()
     gc.freeze()
-    say(f"{config.name} listens on {host}:{listeners[0].getsockname()[1]}")
+    say(f"{config.name} listens on {host}:{listeners[0].sock.getsockname()[1]}")
 
     def reload() -> None:
         """Take the configuration as it is now; one that can't be used changes nothing."""
--- a/hallproxy/run/stores.py
+++ b/hallproxy/run/stores.py
@@ -59,7 +59,7 @@
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         except OSError as error:
             say(f"store {host}: {error.strerror}")
-            return self._loop.bring(LinkDown(self._loop.now(), link))
+            return self._loop.bring(LinkDown(self._loop.now(), link, exhausted=True))
         tls = self._speech.tls(host)
         self._streams[link] = made = stream(sock) if tls is None else tls_stream(sock, tls[0])
         self._hosts[link] = host
--- a/hallproxy/state/events.py
+++ b/hallproxy/state/events.py
@@ -101,11 +101,15 @@
 
 @dataclass(slots=True, frozen=True)
 class LinkDown:
-    """A connection never came up, broke or was closed; ``unused``: nothing went out on it."""
+    """A connection never came up, broke or was closed; ``unused``: nothing went out on it.
+
+    ``exhausted``: there was no descriptor for it here, which says nothing of the store.
+    """
 
     at: int
     link: int
     unused: bool = False
+    exhausted: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/hallproxy/state/links.py
+++ b/hallproxy/state/links.py
@@ -143,14 +143,16 @@
     _over(state, one, result.status, result)
 
 
-def down(state: State, ident: int, unused: bool = False) -> None:
+def down(state: State, ident: int, unused: bool = False, exhausted: bool = False) -> None:
     """A refused connect proves that nothing ran; a break after the first byte proves nothing."""
     link = state.links.get(ident)
     if link is None:
         return
     one, was_up = link.attempt, link.up
     _free(state, link, False)
-    if one is not None and unused and state.members.ready(link.store):
+    if one is not None and exhausted and not _make_room(state):
+        _over(state, one, i.Status.MOOT)
+    elif one is not None and (unused or exhausted) and state.members.ready(link.store):
         one.written = False
         _connect(state, one)  # the store itself may be well: its idle connection was not
     elif one is not None:
--- a/hallproxy/state/reducer.py
+++ b/hallproxy/state/reducer.py
@@ -46,7 +46,7 @@
         case LinkUp():
             links.up(state, event.link)
         case LinkDown():
-            links.down(state, event.link, event.unused)
+            links.down(state, event.link, event.unused, event.exhausted)
         case AttemptDue():
             links.attempt_due(state, event.attempt)
         case CallDue():
--- /dev/null
+++ b/tests/test_descriptors.py
@@ -0,0 +1,103 @@
+"""No descriptor left: nothing ends for good, and all comes back once there are some, on real sockets."""
+
+from __future__ import annotations
+
+import resource
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+import pytest
+
+from hallproxy.wire import frames
+from tests.gateway import Client, Platform, Program, until
+
+SERVED = frames.SERVED
+
+
+@pytest.fixture
+def platform(tmp_path: Path) -> Iterator[Platform]:
+    made = Platform(tmp_path).start()
+    yield made
+    if made.program.process.poll() is None:
+        made.program.process.kill()
+    made.program.wait()
+
+
+def held(program: Program) -> int:
+    return len(list(Path(f"/proc/{program.process.pid}/fd").iterdir()))
+
+
+@contextmanager
+def none_left(program: Program) -> Iterator[None]:
+    """The process may open no descriptor beyond those that it has."""
+    pid = program.process.pid
+    usual = resource.prlimit(pid, resource.RLIMIT_NOFILE)
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, (0, usual[1]))
+    try:
+        yield
+    finally:
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, usual)
+
+
+def said(program: Program, word: str) -> int:
+    return sum(word in x for x in program.lines)
+
+
+def test_the_poll_outlives_a_time_without_descriptors(platform: Platform) -> None:
+    """Its old connection breaks just then, so that it needs a new one."""
+    until(lambda: platform.log.polled)
+    with none_left(platform.program):
+        for made in platform.log._http.listener.connections:
+            made.shutdown(socket.SHUT_RDWR)
+        until(lambda: said(platform.program, "change log: OSError") >= 2)  # it goes on trying
+    platform.tell(invalidate={"object": f"{7:016x}", "time": 1})  # returns once the gateway holds it
+
+
+def test_the_listener_outlives_it_and_neither_spins_nor_turns_anybody_away(platform: Platform) -> None:
+    with none_left(platform.program):
+        client = Client(platform.program.port)  # the system takes it into the backlog
+        client.ask(row=3)
+        until(lambda: said(platform.program, "listener:") >= 3)
+        assert said(platform.program, "listener:") < 200
+    assert client.answer()[0] == SERVED
+    assert not said(platform.program, "Error") and not said(platform.program, "Exception")
+
+
+def test_an_idle_connection_gives_its_descriptor_to_a_new_one(platform: Platform) -> None:
+    idle = platform.client()
+    idle.ask(row=1)
+    assert idle.answer()[0] == SERVED
+    with none_left(platform.program):
+        Client(platform.program.port)
+        assert idle.read() is None  # closed for it, with nothing open on it
+
+
+def test_an_idle_store_connection_gives_its_descriptor_to_one_that_is_asked(platform: Platform) -> None:
+    """Having none left is no fault of the store: it gets its requests all the same."""
+    client = platform.client()
+    client.ask(row=1)
+    assert client.answer()[0] == SERVED
+    asked = [len(c.seen) for c in platform.caches]
+    with none_left(platform.program):
+        for row in range(2, 18):
+            client.ask(row=row)
+            assert client.answer()[0] == SERVED
+    assert all(len(c.seen) > before for c, before in zip(platform.caches, asked, strict=True))
+
+
+def test_with_nothing_to_close_what_needs_a_descriptor_is_refused_and_no_store_blamed(
+    platform: Platform,
+) -> None:
+    client = platform.client()
+    client.send(frames.IS_READY, 0)
+    assert client.read() is not None  # it has its descriptor
+    with none_left(platform.program):
+        for row in range(1, 9):
+            client.ask(row=row)
+        assert all(client.answer()[0] == frames.REFUSED for _ in range(8))
+    assert not platform.seen and not said(platform.program, "benched")
+    for row in range(1, 9):
+        client.ask(row=row)
+    assert all(client.answer()[0] == SERVED for _ in range(8))
