--- a/hallproxy/run/listener.py
+++ b/hallproxy/run/listener.py
@@ -31,7 +31,8 @@
         self._loop.add_reader(sock.fileno(), self._ready)
 
     def _ready(self) -> None:
-        for _ in range(AT_ONCE):
+        made_room = False
+        for n in range(AT_ONCE):
             try:
                 made, peer = self.sock.accept()
             except (BlockingIOError, InterruptedError):
@@ -39,10 +40,15 @@
             except OSError as error:
                 if error.errno not in EXHAUSTED:
                     continue  # that one connection broke before it was taken
-                if not self._make_room():
+                if n and not made_room:
+                    return  # said also where nobody waits any more: the loop calls again if somebody does
+                if made_room or not self._make_room():
                     return self._pause(error)
+                made_room = True
                 continue
             self._accepted(made, peer)
+            if made_room:
+                return
 
     def _pause(self, error: OSError) -> None:
         """Guards CPU and log: the socket stays readable, so the loop would call back at once, for ever."""
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -25,16 +25,14 @@
     made.program.wait()
 
 
-def held(program: Program) -> int:
-    return len(list(Path(f"/proc/{program.process.pid}/fd").iterdir()))
-
-
 @contextmanager
-def none_left(program: Program) -> Iterator[None]:
-    """The process may open no descriptor beyond those that it has."""
+def none_left(program: Program, again: bool = False) -> Iterator[None]:
+    """The process may open no descriptor; ``again``: but it may use again those that it closes."""
     pid = program.process.pid
     usual = resource.prlimit(pid, resource.RLIMIT_NOFILE)
-    resource.prlimit(pid, resource.RLIMIT_NOFILE, (0, usual[1]))
+    held = {int(x.name) for x in Path(f"/proc/{pid}/fd").iterdir()}
+    free = next(n for n in range(len(held) + 1) if n not in held)
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, (free if again else 0, usual[1]))
     try:
         yield
     finally:
@@ -69,9 +67,11 @@
     idle = platform.client()
     idle.ask(row=1)
     assert idle.answer()[0] == SERVED
-    with none_left(platform.program):
-        Client(platform.program.port)
+    with none_left(platform.program, again=True):
+        client = Client(platform.program.port)
         assert idle.read() is None  # closed for it, with nothing open on it
+        client.send(frames.IS_READY, 0)
+        assert client.read() is not None
 
 
 def test_an_idle_store_connection_gives_its_descriptor_to_one_that_is_asked(platform: Platform) -> None:
@@ -80,7 +80,7 @@
     client.ask(row=1)
     assert client.answer()[0] == SERVED
     asked = [len(c.seen) for c in platform.caches]
-    with none_left(platform.program):
+    with none_left(platform.program, again=True):
         for row in range(2, 18):
             client.ask(row=row)
             assert client.answer()[0] == SERVED
