Who has gone is not begun, late work is moot, connections end behind what is owed

Seen and at fault - Connection._take_all began frames of a read while their cancel or the connection's end lay unread behind them: 8 requests of a client that had closed went to stores. Timers are brought three turns of the loop later. - A close over unread bytes reset the connection and took the error with it; an error ended requests that were owed an answer. Connections end in order now: owed answers, half-close, read on for 0.5 s at most. - Clients.stopping was never set: a gateway told to end still said that it was ready. - drain took requests up to 3 s after SIGTERM with their whole time, 6 s on this site, where the kill may come after 6.7 s; the backlog was dropped with the listener. Now the reducer cuts what is open to before the kill, refuses what comes at the end, and the backlog is taken first.

Wrong test replaced: two requests under one number end the connection, but the first was taken and its answer is owed ahead of the close; the test asks for both now.

--- a/hallproxy/run/listener.py
+++ b/hallproxy/run/listener.py
@@ -10,6 +10,7 @@
 from hallproxy.run.loop import say
 
 AT_ONCE = 128  # connections taken before the others have their turn
+TAKEN_LAST = 1024  # connections taken at the close; as many as a backlog holds
 PAUSE = 0.05  # s until the next try where no connection can be taken
 # The system has none left of what a connection needs: those that wait in the backlog stay there.
 EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -61,6 +62,15 @@
         self._loop.add_reader(self.sock.fileno(), self._ready)
 
     def close(self) -> None:
+        """Stop listening. Who is in the backlog by now is taken first: the system has accepted them."""
+        for _ in range(TAKEN_LAST):
+            try:
+                made, peer = self.sock.accept()
+            except ConnectionAbortedError:
+                continue
+            except OSError:
+                break
+            self._accepted(made, peer)
         if self._paused is not None:
             self._paused.cancel()
         else:
--- a/hallproxy/run/loop.py
+++ b/hallproxy/run/loop.py
@@ -15,6 +15,10 @@
 from hallproxy.state.model import State
 from hallproxy.state.reducer import reduce
 
+# Turns of the event loop from a timer to its event: one in which the sockets are looked at, as the timers may
+# have been looked at alone (after a signal), one in which a reader is woken, and one in which it has run.
+TURNS = 3
+
 
 class Stores(Protocol):
     """Connections to stores, by the reducer's numbers."""
@@ -94,6 +98,17 @@
     def _wake(self, event: Event) -> None:
         if event.at > time.time_ns():  # the loop's clock and the system's differ by a little
             asyncio.get_running_loop().call_later((event.at - time.time_ns()) / 1e9, self._wake, event)
+        else:
+            self._later(event, TURNS)
+
+    def _later(self, event: Event, turns: int) -> None:
+        """What the sockets held when a timer fell due came before it: the event is brought behind that.
+
+        An answer, a cancel or a close that lies there unread must not be overtaken by the timer that would
+        do without it.
+        """
+        if turns:
+            asyncio.get_running_loop().call_soon(self._later, event, turns - 1)
         else:
             self.bring(event)
 
--- a/hallproxy/run/main.py
+++ b/hallproxy/run/main.py
@@ -29,7 +29,7 @@
 from hallproxy.run.signals import Signals
 from hallproxy.run.stores import HttpStores
 from hallproxy.state.bounds import MB, Bounds
-from hallproxy.state.events import ContractsTold, NewsHeard, Reconfigured
+from hallproxy.state.events import ContractsTold, NewsHeard, Reconfigured, Stopping
 from hallproxy.state.model import State
 from hallproxy.wire.changelog import ChangeError
 from hallproxy.wire.stores import Platform
@@ -41,6 +41,9 @@
 NO_MORE_AFTER = 0.45  # s after SIGTERM at which clients are told, once the front has turned away
 QUIET_FOR = 0.3  # s without a new request or connection before the end, ...
 QUIET_MOST = 3.0  # ...if that comes within so many s of SIGTERM: some may go on asking, though told
+KILLED_AFTER = 700_000_000  # ns past the longest deadline, 3 s at least, from SIGTERM to SIGKILL
+EXIT = 200_000_000  # ns that the process may take for its own end
+END_MARGIN = 500_000_000  # ns ahead of that by which all is answered, so that connections can end in order
 SECOND = 1_000_000_000
 
 
@@ -87,9 +90,8 @@
         tasks.append(asyncio.ensure_future(poller.run()))
         await poller.current()
     host, port = config.listen
-    listeners = [
-        Listener(sock, clients.accept, clients.make_room) for sock in bind_sockets(port, host, backlog=512)
-    ]
+    socks = bind_sockets(port, host, backlog=512)
+    listeners = [Listener(sock, clients.accept, clients.free_descriptor) for sock in socks]
 
     def deaf() -> None:
         for listener in listeners:
@@ -134,7 +136,11 @@
     clock = asyncio.get_running_loop().time
     began = clock()
     say("stopping: no new work is asked for")
-    told, listens = False, True
+    clients.stopping = True
+    longest = max(SECOND * 3, *(c.deadline for c in loop.state.settings.classes))
+    ends = loop.now() + longest + KILLED_AFTER - END_MARGIN
+    loop.bring(Stopping(loop.now(), ends))
+    told, listens, refuses = False, True, False
     while True:
         await asyncio.sleep(0.02)
         if clock() - began >= NO_MORE_AFTER:
@@ -144,10 +150,14 @@
         if listens and clock() - began >= ACCEPT_FOR:
             listens = False
             deaf()
-        unsent = any(connection.unsent for connection in clients.connections)
         quiet = clock() - max(clients.asked_at, began) >= QUIET_FOR or clock() - began >= QUIET_MOST
-        if told and not listens and quiet and not loop.state.callers and not unsent:
+        if told and not listens and quiet and not refuses:
+            refuses = True
+            say("stopping: what is asked now is refused")
+            loop.bring(Stopping(loop.now(), ends, refuses=True))
+        if refuses and not clients.owed:
             break
+    await clients.end((ends + END_MARGIN - EXIT - loop.now()) / SECOND)
     say(f"own copies served {loop.state.own_served}, hold {loop.state.copies.held} bytes")
     say("stopped: all is answered")
 
--- a/hallproxy/run/sockets.py
+++ b/hallproxy/run/sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import ssl
 from collections import deque
@@ -50,6 +51,26 @@
             return True
         return True
 
+    def at_hand(self, into: memoryview) -> int | None:
+        """Read without waiting: how many bytes; 0 at the other side's close; None if there is nothing.
+
+        StreamClosedError if the connection was reset. Only while no other read waits.
+        """
+        if self.closed():
+            raise StreamClosedError(self.error)
+        try:
+            return self.socket.recv_into(into)
+        except (BlockingIOError, InterruptedError):
+            return None
+        except OSError as error:
+            raise StreamClosedError(error) from None
+
+    def half_close(self) -> None:
+        """End our direction behind all that was written; the other side may still send."""
+        if not self.closed():
+            with contextlib.suppress(OSError):  # it has closed already
+                self.socket.shutdown(socket.SHUT_WR)
+
     def gather(self, pieces: Sequence[bytes]) -> None:
         """Write the pieces in their order: in one system call where the socket takes them.
 
@@ -157,6 +178,15 @@
             self.data.extend(bytes(room - (len(self.data) - self.filled)))
         self.filled += await source.some(memoryview(self.data)[self.filled :], within)
 
+    def fill_at_hand(self, source: Stream, most: int) -> int | None:
+        """Read without waiting up to ``most`` bytes; as ``Stream.at_hand`` says."""
+        if len(self.data) - self.filled < most:
+            self.data.extend(bytes(most - (len(self.data) - self.filled)))
+        with memoryview(self.data) as data:
+            size = source.at_hand(data[self.filled : self.filled + most])
+        self.filled += size or 0
+        return size
+
     def drop(self, size: int) -> None:
         """Forget the first so many bytes."""
         rest = self.filled - size
--- a/hallproxy/state/calls.py
+++ b/hallproxy/state/calls.py
@@ -8,7 +8,7 @@
 from hallproxy.state import teams
 from hallproxy.state.copies import Copy
 from hallproxy.state.effects import Reply, Wake
-from hallproxy.state.events import Answer, Arrived, Asked, CallDue, Reason, Result, Verdict
+from hallproxy.state.events import Answer, Arrived, Asked, CallDue, Reason, Result, Stopping, Verdict
 from hallproxy.state.model import Call, State
 
 SECOND = 1_000_000_000  # ns
@@ -21,6 +21,13 @@
 
 def arrived(state: State, event: Arrived) -> None:
     asked = event.asked
+    if state.refuses:
+        # The process is about to end. Nothing has run, so its client may ask elsewhere at once.
+        busy = Answer(Verdict.REFUSED, retry_after=BUSY_RETRY, reason=Reason.BUSY)
+        state.effects.append(Reply(event.caller, busy))
+        return
+    if state.stops_at:
+        asked = replace(asked, left=max(0, min(asked.left, state.stops_at - state.now)))
     contract = None
     if state.broker is not None:
         refusal, asked, contract = teams.admit(state, state.broker, asked)
@@ -180,6 +187,15 @@
         forget(state, call)
 
 
+def stopping(state: State, event: Stopping) -> None:
+    """Nothing may be open when the process is killed, however long its client would wait."""
+    if not state.stops_at:
+        for call in state.callers.values():
+            if call.came + call.asked.left > event.until:
+                state.effects.append(Wake(CallDue(event.until, call.ident)))
+    state.stops_at, state.refuses = event.until, event.refuses
+
+
 def due(state: State, ident: int) -> None:
     """The last moment for an answer. The module is always earlier, unless it failed on this request."""
     call = state.calls.get(ident)
--- a/hallproxy/state/events.py
+++ b/hallproxy/state/events.py
@@ -232,6 +232,15 @@
     bounds: Bounds
 
 
+@dataclass(slots=True, frozen=True)
+class Stopping:
+    """The process is to end: all must be answered by ``until``; ``refuses``: what comes now is refused."""
+
+    at: int
+    until: int
+    refuses: bool = False
+
+
 class OtherEvent:
     """Of a part that a gateway may be without; only that part knows what it means."""
 
@@ -256,5 +265,6 @@
     | ContractsTold
     | Lagged
     | Reconfigured
+    | Stopping
     | OtherEvent
 )
--- a/hallproxy/state/links.py
+++ b/hallproxy/state/links.py
@@ -8,9 +8,11 @@
 from hallproxy.state import calls, teams
 from hallproxy.state.effects import Close, Open, Order, Send, Wake
 from hallproxy.state.events import Answer, Answered, AttemptDue, LinkDue, Reason, Result, Verdict
-from hallproxy.state.model import Attempt, Link, State
+from hallproxy.state.model import Attempt, Call, Link, State
 
 MS = 1_000_000  # ns
+KEY_MARGIN = 2 * MS  # ahead of the end of a key's window from which it is not sent again
+NEVER_RAN = (i.Status.FULL, i.Status.CONNECT_FAILED, i.Status.MOOT, i.Status.MISS)
 REASONS = {
     i.Status.OK: Reason.NONE,
     i.Status.ERROR: Reason.ERROR,
@@ -30,6 +32,7 @@
     if call is None:
         return
     one = Attempt(state.number(), call.ident, call.sent, get, state.now, state.now + get.timeout)
+    one.processes = _processes(state, get)
     call.attempts[one.number] = state.attempts[one.ident] = one
     call.sent += 1
     if call.answered or not state.members.ready(get.server) or not state.members.ready(get.source):
@@ -52,12 +55,15 @@
 
 def _connect(state: State, one: Attempt) -> None:
     get = one.get
+    if state.calls[one.request].answered:  # its client has gone, or another attempt was first
+        return _over(state, one, i.Status.MOOT)
     if len(state.links) >= state.bounds.links and not _make_room(state):
         return _over(state, one, i.Status.MOOT)
-    link = Link(state.number(), get.server, one)
+    address, started = state.members.process(get.server)
+    link = Link(state.number(), get.server, address, started, one)
     one.link = link.ident
     state.links[link.ident] = link
-    state.effects.append(Open(link.ident, state.members.addresses[get.server]))
+    state.effects.append(Open(link.ident, address))
     state.effects.append(Wake(LinkDue(state.now + state.settings.connect_timeout, link.ident)))
 
 
@@ -76,7 +82,10 @@
     Guards the rules on drains and purges against time spent connecting.
     """
     get, call = one.get, state.calls[one.request]
-    if not state.members.ready(get.server) or not state.members.ready(get.source) or one.until <= state.now:
+    ready = state.members.ready(get.server) and state.members.ready(get.source)
+    # A process that started meanwhile is cold: the module has not reckoned with that.
+    same = one.processes == _processes(state, get)
+    if call.answered or not (ready and same) or one.until <= state.now or not _may_run(state, call):
         _free(state, link, True)
         return _over(state, one, i.Status.MOOT)
     max_age, how = get.max_age, i.How(get.how)
@@ -92,6 +101,7 @@
         teams.spent(state, call, Reason.KEY)
         return _over(state, one, i.Status.MOOT)
     one.written = call.tried = True
+    one.written_at = state.now
     asked = call.asked
     one.validator = calls.condition(state, asked)
     order = Order(
@@ -118,6 +128,28 @@
     state.effects.append(Send(link.ident, order))
 
 
+def _may_run(state: State, call: Call) -> bool:
+    """Whether an attempt may be written now, next to those of the request that may have run before it.
+
+    The module has looked at that when it spoke; a connect may have taken until after the key's window.
+    """
+    cls = state.settings.classes[call.asked.cls]
+    if cls.effect is i.Effect.SAFE:
+        return True
+    first = min((a.written_at for a in call.attempts.values() if a.written), default=call.ran_at)
+    first = min(first, call.ran_at or first)
+    return not first or (cls.effect is i.Effect.KEYED and state.now - first < cls.window - KEY_MARGIN)
+
+
+def _processes(state: State, get: i.Get) -> tuple[tuple[str, int], tuple[str, int]]:
+    return state.members.process(get.server), state.members.process(get.source)
+
+
+def _leads_there(state: State, link: Link) -> bool:
+    """Whether the store is still the process that the connection was opened to."""
+    return state.members.process(link.store) == (link.address, link.started)
+
+
 def answered(state: State, event: Answered) -> None:
     link = state.links.get(event.link)
     if state.files is not None and event.result.spooled:
@@ -227,7 +259,7 @@
     """The connection carries nothing any more: idle for the next attempt at the same store, or closed."""
     link.attempt = None
     idle = state.idle.setdefault(link.store, [])
-    if reusable and state.members.ready(link.store):
+    if reusable and state.members.ready(link.store) and _leads_there(state, link):
         link.idle_since = state.now
         idle.append(link)
         return
@@ -253,6 +285,8 @@
     del state.attempts[one.ident]
     call = state.calls[one.request]
     del call.attempts[one.number]
+    if one.written and status not in NEVER_RAN:
+        call.ran_at = min(one.written_at, call.ran_at or one.written_at)
     if state.broker is not None:
         teams.attempt_over(state, state.broker, call, one, status)
     if status is i.Status.OK and result is not None:
--- a/hallproxy/state/members.py
+++ b/hallproxy/state/members.py
@@ -32,6 +32,11 @@
                 del self.known[server], self.addresses[server]
         return stale
 
+    def process(self, server: bytes) -> tuple[str, int]:
+        """Where its process is reached, and when that started; ("", 0) for one that is not listed."""
+        member = self.known.get(server)
+        return ("", 0) if member is None else (self.addresses[server], member.started)
+
     def ready(self, server: bytes) -> bool:
         member = self.known.get(server)
         return member is not None and member.state is i.State.READY
--- a/hallproxy/state/model.py
+++ b/hallproxy/state/model.py
@@ -31,8 +31,10 @@
     get: i.Get
     sent_at: int
     until: int
+    processes: tuple[tuple[str, int], ...] = ()  # of its server and source, when the module chose them
     link: int = 0  # 0: waits for a connection's place
     written: bool = False
+    written_at: int = 0  # ns; of its first byte
     validator: str = ""  # it was asked by this condition
     counted: bool = False  # the broker has heard of it
 
@@ -50,6 +52,7 @@
     begun: bool = False  # the module has heard of it
     answered: bool = False
     tried: bool = False  # an attempt of it was written
+    ran_at: int = 0  # ns; when the first was written of those that ended and may have run; 0: none
     reason: Reason = Reason.NONE  # how its last attempt went wrong
 
 
@@ -59,6 +62,8 @@
 
     ident: int
     store: bytes
+    address: str  # as the list told it when the connection was asked for, ...
+    started: int  # ...and the start of that process
     attempt: Attempt | None = None
     up: bool = False
     idle_since: int = 0
@@ -89,6 +94,8 @@
     idle: dict[bytes, list[Link]] = field(default_factory=dict)
     last: int = 0  # the last number given to a call, an attempt or a link
     now: int = 0
+    stops_at: int = 0  # ns; when all must be answered, as the process ends then; 0: it goes on
+    refuses: bool = False  # nothing new is taken any more
     told: deque[i.Event] = field(default_factory=deque)  # what the module has yet to hear
     effects: list[Effect] = field(default_factory=list)
 
--- a/hallproxy/state/reducer.py
+++ b/hallproxy/state/reducer.py
@@ -28,6 +28,7 @@
     OtherEvent,
     PurgeTold,
     Reconfigured,
+    Stopping,
     TurnDue,
 )
 from hallproxy.state.model import State
@@ -69,6 +70,8 @@
             state.broker.capacity.lagged(event.lag)
         case Reconfigured():
             _reconfigured(state, event)
+        case Stopping():
+            calls.stopping(state, event)
         case OtherEvent() if state.files is not None:
             state.files.take(state, event)
     _consult(state)
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -243,6 +243,7 @@
     def __init__(self, port: int) -> None:
         self.sock = socket.create_connection(("127.0.0.1", port))
         self.sock.settimeout(DEADLINE)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # what is sent is there
         self._last = 0
         self.base = next(_CLIENTS) << 32  # ids are new with every request of all clients
 
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,453 @@
+"""Two events that cross, in the bad order each time, on real connections.
+
+The order is forced by stopping the process while both come, or by a store whose queue of connections is full.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import select
+import signal
+import socket
+import struct
+import threading
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from hallproxy.wire import frames
+from tests.gateway import Client, Http, Platform, Program, member, now_ms, ok, response, until
+from tests.test_platform import connecting, sent_of
+
+SERVED, REFUSED, FAILED = frames.SERVED, frames.REFUSED, frames.FAILED
+
+
+@pytest.fixture
+def start(tmp_path: Path) -> Iterator[Callable[..., Platform]]:
+    started: list[Platform] = []
+
+    def make(**more: Any) -> Platform:
+        started.append(Platform(tmp_path, **more).start())
+        return started[-1]
+
+    yield make
+    for platform in started:
+        if platform.program.process.poll() is None:
+            platform.program.process.kill()
+        platform.program.wait()
+
+
+@contextmanager
+def stopped(program: Program) -> Iterator[None]:
+    """The process stands still: what comes meanwhile lies there together when it goes on."""
+    stat = Path(f"/proc/{program.process.pid}/stat")
+    program.process.send_signal(signal.SIGSTOP)
+    until(lambda: stat.read_text().rsplit(")", 1)[1].split()[0] == "T")
+    yield
+    program.process.send_signal(signal.SIGCONT)
+
+
+def reset(sock: socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+def well(platform: Platform, row: int = 999) -> None:
+    """Whoever comes now is served: what came before has been read by then."""
+    client = platform.client()
+    client.ask(row=row)
+    assert client.answer()[0] == SERVED
+
+
+class Busy:
+    """A store by hand whose queue of connections is full, so that connects to it wait."""
+
+    def __init__(self) -> None:
+        self.sock = socket.create_server(("127.0.0.1", 0), backlog=0)
+        self.sock.settimeout(5)
+        self.port: int = self.sock.getsockname()[1]
+        self.address = f"127.0.0.1:{self.port}"
+        self._fillers: list[socket.socket] = []
+        self.made: list[socket.socket] = []
+
+    def fill(self) -> int:
+        """Fill the queue; how many connects wait by now."""
+        before = connecting(self.port)
+        while connecting(self.port) == before:
+            one = socket.socket()
+            one.setblocking(False)
+            one.connect_ex(("127.0.0.1", self.port))
+            self._fillers.append(one)
+            time.sleep(0.01)  # for the kernel's handshake on loopback
+        return connecting(self.port)
+
+    def take(self) -> socket.socket:
+        """The next connection that is none of the fillers'."""
+        ours = {f.getsockname() for f in self._fillers}
+        while True:
+            made, peer = self.sock.accept()
+            made.settimeout(5)
+            self.made.append(made)
+            if peer not in ours:
+                return made
+
+    def close(self) -> None:
+        for one in [*self._fillers, *self.made, self.sock]:
+            one.close()
+
+
+def asked(made: socket.socket) -> str:
+    """The path that is asked for on a store's connection."""
+    got = b""
+    while b"\r\n\r\n" not in got:
+        more = made.recv(4096)
+        assert more, "the connection ended before a request"
+        got += more
+    return got.split()[1].decode()
+
+
+@pytest.fixture
+def busy() -> Iterator[Busy]:
+    made = Busy()
+    yield made
+    made.close()
+
+
+def patient(settings: dict[str, Any]) -> None:
+    settings["bounds"]["dial_timeout_ns"] = 5 * 10**9
+
+
+# Clients that go ----------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("how", ["close", "half-close", "reset", "cancel"])
+def test_a_request_whose_client_has_gone_by_the_time_it_is_read_is_not_begun(
+    start: Callable[..., Platform], how: str
+) -> None:
+    platform = start()
+    client = platform.client()
+    for row in range(100, 110):
+        client.ask(row=row)
+        client.answer()  # connections to the stores are open: what is begun is sent at once
+    with stopped(platform.program):
+        streams = [client.ask(row=7, nth=n, body=b"x" * 2500) for n in range(8)]
+        if how == "close":
+            client.sock.close()
+        elif how == "half-close":
+            client.sock.shutdown(socket.SHUT_WR)
+        elif how == "reset":
+            reset(client.sock)
+        else:
+            for stream in streams:
+                client.send(frames.LEFT, stream)
+    well(platform)
+    well(platform, 998)
+    assert sent_of(platform, 7) == 0
+
+
+def test_a_cancel_behind_many_frames_takes_back_what_has_not_begun(start: Callable[..., Platform]) -> None:
+    """Frames of another client's stand ahead of it in the same turn."""
+    platform = start()
+    crowd = [platform.client() for _ in range(8)]
+    client = platform.client()
+    for one in [*crowd, client]:
+        one.send(frames.IS_READY, 0)
+        one.read()
+    with stopped(platform.program):
+        for one in crowd:
+            for row in range(100, 130):
+                one.ask(row=row)
+        streams = [client.ask(row=7, nth=n) for n in range(30)]
+        for stream in streams:
+            client.send(frames.LEFT, stream)
+    assert all(one.answer()[0] in (SERVED, REFUSED) for one in crowd for _ in range(30))
+    well(platform)
+    assert sent_of(platform, 7) == 0
+
+
+def test_who_leaves_while_his_connect_is_under_way_is_not_sent_on(
+    start: Callable[..., Platform], busy: Busy
+) -> None:
+    """Also where the settings let nothing be cancelled: what has not begun need not be."""
+
+    def lasting(settings: dict[str, Any]) -> None:
+        patient(settings)
+        settings["bounds"]["cancelling"] = False
+
+    platform = start(changed=lasting, caches=[Http(ok())])
+    line = member("s-0", busy.address, "std", startedAtMs=1)
+    platform.tell(fleet={"generation": 2, "reset": False, "instances": [line]})
+    waiting = busy.fill()
+    client = platform.client()
+    stream = client.ask(row=7, ttl="4000")
+    until(lambda: connecting(busy.port) > waiting)
+    client.send(frames.LEFT, stream)
+    client.send(frames.IS_READY, 0)
+    assert client.read() is not None  # the cancel has been read
+    made = busy.take()
+    client.ask(row=8, ttl="4000")
+    busy.sock.settimeout(0.05)
+    with contextlib.suppress(TimeoutError):
+        busy.take()  # where the other was not up yet
+    ready = until(lambda: select.select(busy.made, [], [], 0)[0])
+    paths = [asked(one) for one in ready if one.recv(1, socket.MSG_PEEK)]
+    assert paths == [f"/v2/q/segment/{8:016x}/0"], made
+
+
+# Attempts and answers -----------------------------------------------------------------------------------
+
+
+def test_a_second_attempt_does_not_begin_when_the_first_s_answer_lies_there(
+    start: Callable[..., Platform],
+) -> None:
+    gate, held = threading.Event(), threading.Event()
+
+    def reply(seen: Any) -> bytes | None:
+        if f"{7:016x}" in seen.path:
+            held.set()
+            gate.wait(10)
+        elif f"{200:016x}" not in seen.path:
+            time.sleep(0.15)  # so long answers usually take
+        return ok()(seen)
+
+    platform = start(caches=[Http(reply)])
+    client = platform.client()
+    for row in range(100, 190, 15):
+        for n in range(15):
+            client.ask(row=row, nth=n)
+        assert all(client.answer()[0] == SERVED for _ in range(15))
+    stream = client.ask(row=7, ttl="5000")
+    assert held.wait(5)
+    client.ask(row=200)  # its cache answers others meanwhile
+    assert client.answer()[0] == SERVED
+    with stopped(platform.program):
+        began = time.monotonic()
+        gate.set()
+        until(lambda: time.monotonic() - began > 1.5)  # the answer lies there, and patience is over
+    frame = client.read()
+    assert frame is not None and frame[1] == stream and frame[2][0] == SERVED
+    well(platform)
+    assert sent_of(platform, 7) == 1
+
+
+def test_a_repeat_under_a_key_is_not_sent_after_its_window(
+    start: Callable[..., Platform], busy: Busy
+) -> None:
+    """The module repeats it in time; then the connect lasts until the window is over."""
+
+    def short(settings: dict[str, Any]) -> None:
+        patient(settings)
+        settings["classes"][2]["key_ttl_ns"] = 500_000_000
+
+    platform = start(changed=short, caches=[Http(ok())])
+    line = member("s-0", busy.address, "std", startedAtMs=1)
+    platform.tell(fleet={"generation": 2, "reset": False, "instances": [line]})
+    client = platform.client()
+    client.ask(op="close", row=7, dedupe="a" * 32)
+    first = busy.take()
+    assert f"{7:016x}" in asked(first)
+    waiting = busy.fill()
+    sent = time.monotonic()
+    reset(first)  # it may have run
+    until(lambda: connecting(busy.port) > waiting)
+    until(lambda: time.monotonic() - sent > 0.6)
+    second = busy.take()
+    code, _, _ = client.answer()
+    assert code in (REFUSED, FAILED)
+    second.setblocking(False)
+    with contextlib.suppress(BlockingIOError):
+        assert second.recv(4096) == b""  # closed, or resting: nothing was asked on it
+
+
+# Connections and the list -------------------------------------------------------------------------------
+
+
+def test_a_connect_under_way_to_a_former_process_carries_nothing(
+    start: Callable[..., Platform], busy: Busy
+) -> None:
+    """Its address may be another store's by the time that the connection is up."""
+    fresh = Http(ok(b"new"))
+    platform = start(changed=patient, caches=[Http(ok())])
+    line = member("s-0", busy.address, "std", startedAtMs=1)
+    platform.tell(fleet={"generation": 2, "reset": False, "instances": [line]})
+    waiting = busy.fill()
+    client = platform.client()
+    client.ask(row=7, ttl="4000")
+    until(lambda: connecting(busy.port) > waiting)
+    line = member("s-0", fresh.address, "std", startedAtMs=now_ms() - 60_000)
+    platform.tell(fleet={"generation": 3, "reset": False, "instances": [line]})
+    made = busy.take()
+    assert client.answer()[2] == b"new"
+    assert made.recv(4096) == b""
+
+
+def test_work_that_waits_when_its_fill_source_starts_is_decided_anew(
+    start: Callable[..., Platform], busy: Busy
+) -> None:
+    """A parent that has just started bears little from all gateways: what waits counts, too."""
+    platform = start(changed=patient, caches=[Http(ok())])
+    lines = [member("s-0", busy.address, "std"), member("p-0", "127.0.0.1:1", "parent")]
+    platform.tell(fleet={"generation": 2, "reset": False, "instances": lines})
+    waiting = busy.fill()
+    client = platform.client()
+    client.ask(row=7, ttl="4000")
+    until(lambda: connecting(busy.port) > waiting)
+    line = member("p-0", "127.0.0.1:1", "parent", startedAtMs=now_ms())
+    platform.tell(fleet={"generation": 3, "reset": False, "instances": [line]})
+    busy.take()
+    ready = until(lambda: select.select(busy.made, [], [], 0)[0])
+    assert "X-Fill-From: o-0" in ready[0].recv(4096).decode()
+
+
+def test_a_connection_at_work_when_its_store_moves_is_not_used_again(start: Callable[..., Platform]) -> None:
+    gate = threading.Event()
+    old, fresh = Http(lambda s: ok(b"old")(s) if gate.wait(5) else None), Http(ok(b"new"))
+    platform = start(caches=[old])
+    client = platform.client()
+    client.ask()
+    until(lambda: old.seen)
+    line = member("s-0", fresh.address, "std", startedAtMs=now_ms() - 60_000)
+    platform.tell(fleet={"generation": 2, "reset": False, "instances": [line]})
+    gate.set()
+    assert client.answer()[2] == b"old"
+    client.ask(row=2)
+    assert client.answer()[2] == b"new" and len(old.seen) == 1
+
+
+# Closes and the end -------------------------------------------------------------------------------------
+
+
+def tail(sock: socket.socket) -> bytes:
+    """All that still comes until the other side ends; a reset is an error."""
+    got = b""
+    while more := sock.recv(65_536):
+        got += more
+    return got
+
+
+def test_an_error_is_not_lost_to_unread_bytes_behind_it(start: Callable[..., Platform]) -> None:
+    platform = start()
+    client = platform.client()
+    with stopped(platform.program):
+        client.sock.sendall(b"\xff" * 100_000)
+    got = tail(client.sock)
+    assert got[4] == frames.ANSWER and b"error" in got
+
+
+def test_what_was_taken_ahead_of_an_error_is_answered_before_the_close(
+    start: Callable[..., Platform],
+) -> None:
+    gate = threading.Event()
+    platform = start()
+    platform.all_reply(lambda s: ok()(s) if gate.wait(5) else None)
+    client = platform.client()
+    stream = client.ask()
+    until(lambda: platform.seen)
+    client.sock.sendall(b"\xff" * 1000)
+    frame = client.read()
+    assert frame is not None and frame[:2] == (frames.ANSWER, 0)
+    gate.set()
+    frame = client.read()
+    assert frame is not None and frame[1] == stream and frame[2][0] == SERVED
+    assert tail(client.sock) == b""
+
+
+def test_a_resting_connection_ends_in_order_and_a_request_behind_that_is_not_reset(
+    start: Callable[..., Platform],
+) -> None:
+    platform = start()
+    client = platform.client()
+    client.ask()
+    assert client.answer()[0] == SERVED
+    platform.program.process.send_signal(signal.SIGTERM)
+    frame = client.read()
+    assert frame is not None and frame[0] == frames.NO_MORE
+    assert tail(client.sock) == b""  # it rests until the gateway ends it
+    asked_before = len(platform.seen)
+    client.ask(row=2)
+    client.send(frames.LEFT, 2)
+    assert client.sock.recv(1) == b""
+    client.sock.close()
+    assert platform.program.wait() == 0
+    assert len(platform.seen) == asked_before
+
+
+def test_at_the_end_what_comes_late_is_refused_and_not_sent_on(start: Callable[..., Platform]) -> None:
+    gate = threading.Event()
+    platform = start()
+    platform.all_reply(lambda s: ok()(s) if gate.wait(10) else None)
+    client, other = platform.client(), platform.client()
+    other.send(frames.IS_READY, 0)
+    frame = other.read()
+    assert frame is not None and frame[2][0] == SERVED
+    client.ask(row=1, ttl="5000")
+    until(lambda: platform.seen)
+    platform.program.process.send_signal(signal.SIGTERM)
+    until(lambda: any("is refused" in x for x in platform.program.lines))
+    assert (frame := other.read()) is not None and frame[0] == frames.NO_MORE
+    other.send(frames.IS_READY, 0)
+    assert (frame := other.read()) is not None and frame[2][0] == REFUSED
+    other.ask(row=2)
+    code, fields, _ = other.answer()
+    assert code == REFUSED and int(fields["pushback"]) > 0
+    gate.set()
+    assert (frame := client.read()) is not None and frame[0] == frames.NO_MORE
+    assert client.answer()[0] == SERVED
+    assert platform.program.wait() == 0 and sent_of(platform, 2) == 0
+
+
+def test_what_waits_longer_than_the_process_may_is_answered_before_its_kill(
+    start: Callable[..., Platform],
+) -> None:
+    def short(settings: dict[str, Any]) -> None:
+        for cls in settings["classes"]:
+            cls["deadline_ns"] = 3 * 10**9
+
+    platform = start(changed=short)
+    platform.all_reply(lambda _: None)
+    early, late = platform.client(), platform.client()
+    early.ask(ttl="12000")
+    until(lambda: platform.seen)
+    began = time.monotonic()
+    platform.program.process.send_signal(signal.SIGTERM)
+    until(lambda: any("stopping" in x for x in platform.program.lines))
+    late.ask(row=2, ttl="12000")
+    for client in (early, late):
+        while (frame := client.read()) is not None and frame[0] == frames.NO_MORE:
+            pass
+        assert frame is not None and frame[2][0] in (REFUSED, FAILED)
+    assert platform.program.wait() == 0 and time.monotonic() - began < 3.7
+
+
+def test_who_waits_in_the_backlog_when_the_listener_closes_is_answered(
+    start: Callable[..., Platform],
+) -> None:
+    platform = start()
+    platform.program.process.send_signal(signal.SIGTERM)
+    until(lambda: any("stopping" in x for x in platform.program.lines))
+    with stopped(platform.program):
+        began = time.monotonic()
+        late = [Client(platform.program.port) for _ in range(20)]
+        for client in late:
+            client.ask(row=5)
+        until(lambda: time.monotonic() - began > 1.2)  # the listener is closed as soon as it goes on
+    for client in late:
+        while (frame := client.read()) is not None and frame[0] == frames.NO_MORE:
+            pass
+        assert frame is not None and frame[2][0] in (SERVED, REFUSED)
+    assert platform.program.wait() == 0
+
+
+def test_half_a_line_from_a_store_is_no_answer(start: Callable[..., Platform]) -> None:
+    whole = response(200, b"bytes", ETag="t", X_Born_Ms=str(now_ms()))
+    first, second = Http(lambda _: whole[:9]), Http(ok(b"whole"))
+    platform = start(caches=[first, second])
+    client = platform.client()
+    for row in range(1, 9):
+        client.ask(row=row)
+        assert client.answer()[2] == b"whole"
+    assert first.seen
--- a/tests/test_rude.py
+++ b/tests/test_rude.py
@@ -107,7 +107,10 @@
     client._last -= 1
     client.ask(row=2)
     frame = client.read()
-    assert frame is not None and frame[:2] == (frames.ANSWER, 0) and client.read() is None
+    assert frame is not None and frame[:2] == (frames.ANSWER, 0)
+    frame = client.read()  # the first was taken: its answer is owed
+    assert frame is not None and frame[:2] == (frames.ANSWER, 1) and client.read() is None
+    assert len(platform.seen) == 1
 
 
 def test_requests_taken_back_in_the_same_breath_are_never_begun(platform: Platform) -> None:
