A break at the write has carried nothing; a page of a log that has moved is dropped

Lines at fault: HttpStores.send left a failed write to the reader, which told a break like any other, so what runs once could not go elsewhere; Poller._poll took a page whose last bytes were read in the turn in which the log moved. Both orders are forced on real connections in tests/test_crossings.py and fail without the mend.

--- a/hallproxy/run/changelog.py
+++ b/hallproxy/run/changelog.py
@@ -70,7 +70,7 @@
                 self._made = made = stream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
                 await asyncio.wait_for(made.connect(where), CONNECT_IN)
                 buffer = Buffer()
-                while await self._poll(made, buffer):
+                while await self._poll(made, buffer, where):
                     pass
             except Exception as error:  # whatever it is: a gateway that hears no news breaks rules
                 if where == self._where:
@@ -83,12 +83,14 @@
             if where == self._where:
                 await asyncio.sleep(max(0.0, began + PAUSE - asyncio.get_running_loop().time()))
 
-    async def _poll(self, made: Stream, buffer: Buffer) -> bool:
+    async def _poll(self, made: Stream, buffer: Buffer, where: Address) -> bool:
         asked = self._loop.now()
         wait = min(WAIT, WAIT_MOST) if self._current.is_set() else 0  # the first one only asks what is new
-        made.gather([poll_head(self._since, wait, f"{self._where[0]}:{self._where[1]}")])
+        made.gather([poll_head(self._since, wait, f"{where[0]}:{where[1]}")])
         limit = wait / 1000 + ANSWER_IN if wait else CONNECT_IN
         head, body = await asyncio.wait_for(_page(made, buffer), limit)
+        if where != self._where:
+            return False  # the log has moved while the last bytes of this were read
         if head.status != 200:
             raise ChangeError(f"answer {head.status}")
         try:
--- a/hallproxy/run/stores.py
+++ b/hallproxy/run/stores.py
@@ -83,7 +83,9 @@
         try:
             made.gather([head, order.body] if order.body else [head])
         except StreamClosedError:
-            pass  # the reader sees the close too and tells of it
+            # Broken since it was looked at: the system took no byte, so nothing can have run.
+            self.close(link)
+            self._loop.bring(LinkDown(self._loop.now(), link, unused=True))
 
     def close(self, link: int) -> None:
         made = self._streams.pop(link, None)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -5,7 +5,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
+import json
 import select
 import signal
 import socket
@@ -19,8 +21,30 @@
 
 import pytest
 
+from hallproxy import Router
+from hallproxy.run.changelog import Poller
+from hallproxy.run.config import address
+from hallproxy.run.loop import Loop
+from hallproxy.run.stores import HttpStores
+from hallproxy.state.effects import Order, Send
+from hallproxy.state.events import LinkDown, LinkUp
+from hallproxy.state.model import State
 from hallproxy.wire import frames
-from tests.gateway import Client, Http, Platform, Program, member, now_ms, ok, response, until
+from hallproxy.wire.bench import settings_from_json
+from hallproxy.wire.stores import Platform as Speech
+from tests.gateway import (
+    ChangeLog,
+    Client,
+    Http,
+    Platform,
+    Program,
+    member,
+    now_ms,
+    ok,
+    platform_settings,
+    response,
+    until,
+)
 from tests.test_platform import connecting, sent_of
 
 SERVED, REFUSED, FAILED = frames.SERVED, frames.REFUSED, frames.FAILED
@@ -72,6 +96,7 @@
         self.port: int = self.sock.getsockname()[1]
         self.address = f"127.0.0.1:{self.port}"
         self._fillers: list[socket.socket] = []
+        self._ours: set[tuple[str, int]] = set()
         self.made: list[socket.socket] = []
 
     def fill(self) -> int:
@@ -87,14 +112,25 @@
 
     def take(self) -> socket.socket:
         """The next connection that is none of the fillers'."""
-        ours = {f.getsockname() for f in self._fillers}
+        self._ours |= {f.getsockname() for f in self._fillers}
+        while self._fillers:
+            self._fillers.pop().close()  # those that wait would come again when the gateway's does
         while True:
             made, peer = self.sock.accept()
             made.settimeout(5)
             self.made.append(made)
-            if peer not in ours:
+            if peer not in self._ours:
                 return made
 
+    def heads(self) -> list[str]:
+        """The requests that came on what was taken, once there is one."""
+
+        def spoken() -> list[socket.socket]:
+            there = select.select(self.made, [], [], 0)[0]
+            return [one for one in there if one.recv(1, socket.MSG_PEEK)]
+
+        return [one.recv(4096).decode() for one in until(spoken)]
+
     def close(self) -> None:
         for one in [*self._fillers, *self.made, self.sock]:
             one.close()
@@ -188,14 +224,12 @@
     client.send(frames.LEFT, stream)
     client.send(frames.IS_READY, 0)
     assert client.read() is not None  # the cancel has been read
-    made = busy.take()
+    busy.take()
     client.ask(row=8, ttl="4000")
     busy.sock.settimeout(0.05)
     with contextlib.suppress(TimeoutError):
         busy.take()  # where the other was not up yet
-    ready = until(lambda: select.select(busy.made, [], [], 0)[0])
-    paths = [asked(one) for one in ready if one.recv(1, socket.MSG_PEEK)]
-    assert paths == [f"/v2/q/segment/{8:016x}/0"], made
+    assert [head.split()[1] for head in busy.heads()] == [f"/v2/q/segment/{8:016x}/0"]
 
 
 # Attempts and answers -----------------------------------------------------------------------------------
@@ -299,8 +333,7 @@
     line = member("p-0", "127.0.0.1:1", "parent", startedAtMs=now_ms())
     platform.tell(fleet={"generation": 3, "reset": False, "instances": [line]})
     busy.take()
-    ready = until(lambda: select.select(busy.made, [], [], 0)[0])
-    assert "X-Fill-From: o-0" in ready[0].recv(4096).decode()
+    assert "X-Fill-From: o-0" in busy.heads()[0]
 
 
 def test_a_connection_at_work_when_its_store_moves_is_not_used_again(start: Callable[..., Platform]) -> None:
@@ -318,6 +351,68 @@
     assert client.answer()[2] == b"new" and len(old.seen) == 1
 
 
+async def soon(condition: Callable[[], Any]) -> None:
+    """Let the loop run until the condition holds."""
+    async with asyncio.timeout(10):
+        while not condition():
+            await asyncio.sleep(0.002)
+
+
+def test_a_page_of_the_old_log_that_is_read_as_the_log_moves_is_dropped() -> None:
+    """The bytes have been read and the poll has not gone on yet: its turn comes behind the move."""
+    old, new = ChangeLog(), ChangeLog()
+    for log in (old, new):
+        log.add(invalidate={"object": f"{1:016x}", "time": 1})
+    settings = settings_from_json(json.dumps(platform_settings()).encode())
+
+    async def play() -> None:
+        running = asyncio.get_running_loop()
+        loop = Loop(State(settings, Router(settings, 1)))
+        poller = Poller(loop, address(old.address), 1)
+        task = asyncio.ensure_future(poller.run())
+        await soon(lambda: len(old.polled) >= 2)  # the first asks without waiting; the second waits
+        made = poller._made
+        assert made is not None
+        running.call_later(0.01, poller.move, address(new.address), {"results": []})
+        due = time.monotonic() + 0.02
+        old.add(invalidate={"object": f"{2:016x}", "time": now_ms()})
+        until(lambda: made.stale() and time.monotonic() > due)  # no turn of the loop until both are there
+        await soon(lambda: new.polled)
+        assert new.polled[0] == 1  # it holds nothing of the old one's page
+        task.cancel()
+
+    asyncio.run(play())
+
+
+def test_a_connection_that_breaks_as_it_is_written_to_has_carried_nothing() -> None:
+    """The reset comes after it was looked at: told as unused, so what runs once may go elsewhere, too."""
+    server = socket.create_server(("127.0.0.1", 0))
+    settings = settings_from_json(json.dumps(platform_settings()).encode())
+
+    async def play() -> None:
+        loop = Loop(State(settings, Router(settings, 1)))
+        told: list[Any] = []
+        loop.bring = told.append  # type: ignore[method-assign,assignment]
+        loop.stores = stores = HttpStores(loop, Speech(settings))
+        stores.open(1, "127.0.0.1:%d" % server.getsockname()[1])
+        await soon(lambda: told)
+        made, _ = server.accept()
+        assert told == [LinkUp(told[0].at, 1)]
+        link = stores._streams[1]
+        reset(made)
+        gone = select.poll()
+        gone.register(link.fileno(), select.POLLERR)
+        until(lambda: gone.poll(0))
+        link.stale = lambda: False  # type: ignore[method-assign]
+        stores.send(1, Send(1, Order("1" * 16, 3, "1" * 16, 0, 10**9)))
+        assert told[1:] == [LinkDown(told[1].at, 1, unused=True)]
+        await asyncio.sleep(0)
+        assert len(told) == 2
+
+    asyncio.run(play())
+    server.close()
+
+
 # Closes and the end -------------------------------------------------------------------------------------
 
 
