--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -5,6 +5,7 @@
 import re
 import subprocess
 import sys
+import tomllib
 
 import pytest
 
@@ -29,3 +30,9 @@
     )
     ran = subprocess.run([sys.executable, "-c", text], cwd=ROOT, capture_output=True, text=True)
     assert ran.returncode == 0, ran.stderr
+
+
+def test_an_installed_hallproxy_has_all_its_packages() -> None:
+    named = tomllib.loads((ROOT / "pyproject.toml").read_text())["tool"]["setuptools"]["packages"]
+    there = {".".join(p.parent.relative_to(ROOT).parts) for p in (ROOT / "hallproxy").rglob("__init__.py")}
+    assert sorted(named) == sorted(there)
