An answer that is never read does not keep a stopping process until its kill

drain waited for the last bytes of every answer without an end; now it ends at the time by which all is answered. The test (the bytes are as if never taken) waits for good without it.

--- a/hallproxy/run/main.py
+++ b/hallproxy/run/main.py
@@ -155,7 +155,8 @@
             refuses = True
             say("stopping: what is asked now is refused")
             loop.bring(Stopping(loop.now(), ends, refuses=True))
-        if refuses and not clients.owed:
+        # A client that does not read what it is owed must not keep the process until it is killed.
+        if refuses and (not clients.owed or loop.now() >= ends):
             break
     await clients.end((ends + END_MARGIN - EXIT - loop.now()) / SECOND)
     say(f"own copies served {loop.state.own_served}, hold {loop.state.copies.held} bytes")
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -16,6 +16,7 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -23,8 +24,10 @@
 
 from hallproxy import Router
 from hallproxy.run.changelog import Poller
+from hallproxy.run.clients import Clients
 from hallproxy.run.config import address
 from hallproxy.run.loop import Loop
+from hallproxy.run.main import drain
 from hallproxy.run.stores import HttpStores
 from hallproxy.state.effects import Order, Send
 from hallproxy.state.events import LinkDown, LinkUp
@@ -523,6 +526,23 @@
     assert platform.program.wait() == 0 and time.monotonic() - began < 3.7
 
 
+def test_what_a_client_never_reads_does_not_keep_the_process_until_its_kill(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The last bytes of an answer are not taken, as if for good; the end comes in its time all the same."""
+    settings = settings_from_json(json.dumps(platform_settings()).encode())
+    settings = replace(settings, classes=tuple(replace(c, deadline=3 * 10**9) for c in settings.classes))
+    monkeypatch.setattr(Clients, "owed", property(lambda _: True))
+
+    async def play() -> float:
+        loop = Loop(State(settings, Router(settings, 1)))
+        began = time.monotonic()
+        await drain(Clients(loop), loop, lambda: None)
+        return time.monotonic() - began
+
+    assert asyncio.run(asyncio.wait_for(play(), 8)) < 3.5
+
+
 def test_who_waits_in_the_backlog_when_the_listener_closes_is_answered(
     start: Callable[..., Platform],
 ) -> None:
