--- a/hallproxy/logic.py
+++ b/hallproxy/logic.py
@@ -49,13 +49,13 @@
 UNBENCH_BELOW = 0.15  # smoothed share of failures at which it comes back
 TRIAL_EVERY = SECOND  # ns between the single requests that try a benched peer
 # Further attempts.
-RETRY_SHARE = 0.25  # further attempts earned by each first one, so that retries never feed a collapse
+RETRY_SHARE = 0.25  # retries and hedges earned by each first one, so that retries never feed a collapse
 RETRY_BURST = 20.0  # further attempts in hand at most, of all a zone's routers
 ERRORS_MOST = 3  # answers 'error' to one request; from then on it is taken to be the request's fault
 SILENT = 2 * SECOND  # ns without one answer after which a member does not count as alive
 LONG_AT = 0.98  # an answer is long that takes longer than this share of recent ones; it stays away...
 LOST_AFTER = 2  # ...from this many times that on, or, where lost ones are told from late ones, earlier: ...
-AGAIN_IN = 1.5  # ...so that another, in this many times the usual time, would still be in time
+HEDGE_IN = 1.5  # ...so that another, in this many times the usual time, would still be in time
 LATE_MOST = 0.85  # share of those that stayed away and came after all, under which lost are told from late
 LATE_FIRST, LATE_SMOOTH = 0.8, 0.1  # that share until any are known; weight of one of them in it
 SHORTEST = 2 * MS  # ns past its own sending time; with less time left no attempt is sent
@@ -230,7 +230,7 @@
                 case i.StreamStarted() if event.request in self.open:
                     self.open[event.request].streams = True
         self._release()
-        self._ask_again()
+        self._hedge()
         self._deadlines()
         self._arm()
         return self.actions
@@ -305,10 +305,10 @@
         """From when on (ns) an answer stays away: longer than the slowest lately took, as in a jam all do."""
         spans, usual = self.spans.ordered, (SLOW_BASE + self._work(entry.request)) * SECOND
         long = spans[int(LONG_AT * len(spans))] * usual
-        early = max(long, entry.aim - self.now - AGAIN_IN * self.typical * usual)
+        early = max(long, entry.aim - self.now - HEDGE_IN * self.typical * usual)
         return int(min(LOST_AFTER * long, early if self.late < LATE_MOST else math.inf))
 
-    def _ask_again(self) -> None:
+    def _hedge(self) -> None:
         """Departure: an answer that stays away while its cache answers others has no room, is asked anew."""
         while self.long and self.long[0][0] <= self.now:
             _, ident, attempt = heapq.heappop(self.long)
@@ -321,7 +321,7 @@
             self.stuck[ident, attempt] = cache
             cache.stuck += 1
             again = self.s.second_copies and self.s.classes[entry.request.cls].effect is not i.Effect.UNSAFE
-            few = len(self.stuck) <= self._few()  # more of them are a jam, which a second attempt feeds
+            few = len(self.stuck) <= self._few()  # more of them are a jam, which a hedge feeds
             lost = few and self.late < LATE_MOST and all((ident, n) in self.stuck for n in entry.out)
             if again and lost and self.retries >= 1.0 and not self._full(entry):
                 entry.maybe_ran = entry.maybe_ran or (cache.member, sent_at)  # _may_run_again looks at it
--- a/hallproxy/run/clients.py
+++ b/hallproxy/run/clients.py
@@ -47,7 +47,7 @@
         self._clock = asyncio.get_running_loop().time
         self.quiet_since = self._clock()
         self._faults = 0
-        self._told_no_more = False
+        self._told_go_away = False
         self._late: asyncio.TimerHandle | None = None
         self._end_by = 0.0
 
@@ -138,7 +138,7 @@
                 return self._fault(frames.answer(stream_id, Answer(Verdict.REFUSED, retry_after=BUSY_RETRY)))
             self.waiting[stream_id] = bytes(frame.payload), self._front.loop.now()
             self._front.wait(self, stream_id)
-        elif frame.kind == frames.LEFT:
+        elif frame.kind == frames.CANCEL:
             if self.waiting.pop(stream_id, None) is not None:
                 return self._front.forget(self, stream_id)
             left = self.open.pop(stream_id, None)
@@ -243,11 +243,11 @@
     def unsent(self) -> int:
         return self._made.unsent
 
-    def no_more(self) -> None:
+    def go_away(self) -> None:
         """Ask the client to send nothing new here."""
-        if not self._told_no_more:
-            self._told_no_more = True
-            self._write(frames.pieces(frames.NO_MORE, 0))
+        if not self._told_go_away:
+            self._told_go_away = True
+            self._write(frames.pieces(frames.GO_AWAY, 0))
 
 
 class Clients:
--- a/hallproxy/run/main.py
+++ b/hallproxy/run/main.py
@@ -38,7 +38,7 @@
 BASE = 24 * MB  # what the program takes with nothing to do, and its slack
 CALL = 16 * 1024  # bytes that an open request is taken to hold, its body and its attempts included
 ACCEPT_FOR = 0.8  # s after SIGTERM in which new connections and requests may still come
-NO_MORE_AFTER = 0.45  # s after SIGTERM at which clients are told, once the front has turned away
+GO_AWAY_AFTER = 0.45  # s after SIGTERM at which clients are told, once the front has turned away
 QUIET_FOR = 0.3  # s without a new request or connection before the end, ...
 QUIET_MOST = 3.0  # ...if that comes within so many s of SIGTERM: some may go on asking, though told
 KILLED_AFTER = 700_000_000  # ns past the longest deadline, 3 s at least, from SIGTERM to SIGKILL
@@ -143,10 +143,10 @@
     told, listens, refuses = False, True, False
     while True:
         await asyncio.sleep(0.02)
-        if clock() - began >= NO_MORE_AFTER:
+        if clock() - began >= GO_AWAY_AFTER:
             told = True
             for connection in list(clients.connections):
-                connection.no_more()
+                connection.go_away()
         if listens and clock() - began >= ACCEPT_FOR:
             listens = False
             deaf()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -182,7 +182,7 @@
             reset(client.sock)
         else:
             for stream in streams:
-                client.send(frames.LEFT, stream)
+                client.send(frames.CANCEL, stream)
     well(platform)
     well(platform, 998)
     assert sent_of(platform, 7) == 0
@@ -202,7 +202,7 @@
                 one.ask(row=row)
         streams = [client.ask(row=7, nth=n) for n in range(30)]
         for stream in streams:
-            client.send(frames.LEFT, stream)
+            client.send(frames.CANCEL, stream)
     assert all(one.answer()[0] in (SERVED, REFUSED) for one in crowd for _ in range(30))
     well(platform)
     assert sent_of(platform, 7) == 0
@@ -224,7 +224,7 @@
     client = platform.client()
     stream = client.ask(row=7, ttl="4000")
     until(lambda: connecting(busy.port) > waiting)
-    client.send(frames.LEFT, stream)
+    client.send(frames.CANCEL, stream)
     client.send(frames.IS_READY, 0)
     assert client.read() is not None  # the cancel has been read
     busy.take()
@@ -468,11 +468,11 @@
     assert client.answer()[0] == SERVED
     platform.program.process.send_signal(signal.SIGTERM)
     frame = client.read()
-    assert frame is not None and frame[0] == frames.NO_MORE
+    assert frame is not None and frame[0] == frames.GO_AWAY
     assert tail(client.sock) == b""  # it rests until the gateway ends it
     asked_before = len(platform.seen)
     client.ask(row=2)
-    client.send(frames.LEFT, 2)
+    client.send(frames.CANCEL, 2)
     assert client.sock.recv(1) == b""
     client.sock.close()
     assert platform.program.wait() == 0
@@ -491,14 +491,14 @@
     until(lambda: platform.seen)
     platform.program.process.send_signal(signal.SIGTERM)
     until(lambda: any("is refused" in x for x in platform.program.lines))
-    assert (frame := other.read()) is not None and frame[0] == frames.NO_MORE
+    assert (frame := other.read()) is not None and frame[0] == frames.GO_AWAY
     other.send(frames.IS_READY, 0)
     assert (frame := other.read()) is not None and frame[2][0] == REFUSED
     other.ask(row=2)
     code, fields, _ = other.answer()
     assert code == REFUSED and int(fields["pushback"]) > 0
     gate.set()
-    assert (frame := client.read()) is not None and frame[0] == frames.NO_MORE
+    assert (frame := client.read()) is not None and frame[0] == frames.GO_AWAY
     assert client.answer()[0] == SERVED
     assert platform.program.wait() == 0 and sent_of(platform, 2) == 0
 
@@ -520,7 +520,7 @@
     until(lambda: any("stopping" in x for x in platform.program.lines))
     late.ask(row=2, ttl="12000")
     for client in (early, late):
-        while (frame := client.read()) is not None and frame[0] == frames.NO_MORE:
+        while (frame := client.read()) is not None and frame[0] == frames.GO_AWAY:
             pass
         assert frame is not None and frame[2][0] in (REFUSED, FAILED)
     assert platform.program.wait() == 0 and time.monotonic() - began < 3.7
@@ -556,7 +556,7 @@
             client.ask(row=5)
         until(lambda: time.monotonic() - began > 1.2)  # the listener is closed as soon as it goes on
     for client in late:
-        while (frame := client.read()) is not None and frame[0] == frames.NO_MORE:
+        while (frame := client.read()) is not None and frame[0] == frames.GO_AWAY:
             pass
         assert frame is not None and frame[2][0] in (SERVED, REFUSED)
     assert platform.program.wait() == 0
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -296,7 +296,7 @@
     client = platform.client()
     stream = client.ask()
     until(lambda: platform.seen)
-    client.send(frames.LEFT, stream)
+    client.send(frames.CANCEL, stream)
     store = platform.caches[0].listener.connections[0]
     until(lambda: store.fileno() == -1)  # the stand-in closes once the gateway has
     platform.all_reply(ok())
@@ -364,12 +364,12 @@
     late = platform.client()  # the front has not noticed yet
     late.ask(row=2)
     frame = client.read()
-    assert frame is not None and frame[:2] == (frames.NO_MORE, 0)
+    assert frame is not None and frame[:2] == (frames.GO_AWAY, 0)
     gate.set()
     frame = client.read()
     assert frame is not None and frame[1] == first and frame[2][0] == SERVED
     said = [frame := late.read(), late.read()]
-    assert {f[0] for f in said if f} == {frames.NO_MORE, frames.ANSWER}
+    assert {f[0] for f in said if f} == {frames.GO_AWAY, frames.ANSWER}
     assert platform.program.wait() == 0
 
 
--- a/tests/test_rude.py
+++ b/tests/test_rude.py
@@ -120,7 +120,7 @@
         fields = {"op": "small", "call": f"{stream:016x}", "ttl": "2000", "row": f"{stream:016x}", "nth": "0",
                   "batch": "1", "heap": "40.0"}  # fmt: skip
         raw += b"".join(frames.pieces(frames.ASK, stream, frames.pack_fields(fields)))
-        raw += b"".join(frames.pieces(frames.LEFT, stream))
+        raw += b"".join(frames.pieces(frames.CANCEL, stream))
     client.sock.sendall(raw)
     client.ask(row=500, call="f" * 16)
     client.sock.settimeout(5)
@@ -148,7 +148,7 @@
         fields = {"op": "small", "call": f"{stream:016x}", "ttl": "2000", "row": f"{stream:016x}", "nth": "0",
                   "batch": "1", "heap": "40.0"}  # fmt: skip
         client.send(frames.ASK, stream, frames.pack_fields(fields))
-        client.send(frames.LEFT, stream)
+        client.send(frames.CANCEL, stream)
     platform.all_reply(lambda _: response(200, b"x", ETag="t", X_Born_Ms="1"))
     well(platform)
     assert not [x for x in platform.program.lines if "Error" in x or "fault" in x], platform.program.lines
