A connection that is reset leaves memory at once; the second front ends its connections in order

At fault: a client that meets our half-close resets, IOStream.close keeps the error, its traceback the frames, and those the stream: garbage that only a full collection finds. A stream's error drops its traceback when it closes now, and reads ahead go through one shared buffer instead of 16 KB for each connection.

The second front closed over an unread body and lost its answer: half-close and reading on there too, without TLS.

Tests: a reset under a read with the collector off; an error ahead of an unread body; 300 idle clients while the log is down. Each of the first two fails without its mend.

--- a/hallproxy/repository/front.py
+++ b/hallproxy/repository/front.py
@@ -86,12 +86,35 @@
     Reason.ABSENT: "the upstream repository does not have it",
     Reason.REPLACED: "the bytes that the index named are gone",
 }
+LINGER_FOR = 0.5  # s that a connection whose writing has ended is read on...
+LINGER_LOOK = 0.01  # s between looks at what has come
+LINGER_BYTES = 1024 * 1024  # ...or so many bytes
 LAG_EVERY = 0.01  # s between looks at how late the process is, ...
 LAG_TOLD = 10  # ...so many of which the core is told together
 USE_PATH = "/.use"
 BACK = "read the index again: "  # how an error sends a client back
 
 
+async def _linger(made: Stream) -> None:
+    """End the writing and read on until the client has closed, for a while and so many bytes at most.
+
+    Closing over unread bytes, as of a body that is not wanted, would reset the connection and take the answer
+    with it that is on its way. TLS ends by a message of its own, behind the answer.
+    """
+    if isinstance(made, TlsStream):
+        return
+    made.half_close()
+    scratch, clock = memoryview(bytearray(16_384)), asyncio.get_running_loop().time
+    until, dropped = clock() + LINGER_FOR, 0
+    while dropped < LINGER_BYTES and clock() < until and not made.closed():
+        size = made.at_hand(scratch)  # a read that looks out for the client's leaving may still be waiting
+        if size == 0:
+            return
+        dropped += size or 0
+        if size is None:
+            await asyncio.sleep(LINGER_LOOK)
+
+
 class Response:
     """An answer to be written. With ``file``, ``size`` bytes of it from where it stands are the body."""
 
@@ -233,7 +256,8 @@
                     if head.chunked or head.length:
                         raise HttpError("a request with a body")
                 except HttpError as error:
-                    return await self._write(seat, plain(400, str(error)), False, False)
+                    await self._write(seat, plain(400, str(error)), False, False)
+                    return await _linger(seat.made)
                 self._idle.pop(seat, None)
                 if wait == IDLE and not self.places.request(seat.network, self.loop.now()):
                     # Not the first one, which was counted when the connection was taken.
@@ -248,7 +272,7 @@
                     self.busy -= 1
                     self.places.finished()
                 if not keeps:
-                    return
+                    return await _linger(seat.made)
         except (StreamClosedError, OSError, TimeoutError, ssl.SSLError):
             pass
         finally:
--- a/hallproxy/run/sockets.py
+++ b/hallproxy/run/sockets.py
@@ -8,10 +8,12 @@
 import ssl
 from collections import deque
 from collections.abc import Callable, Sequence
+from typing import Any
 
 from tornado.iostream import IOStream, SSLIOStream, StreamClosedError
 
 READ = 16_384  # bytes a buffer starts with
+SCRATCH = bytearray(READ)  # of reads that do not wait: what came is taken out at once
 
 
 class Stream(IOStream):
@@ -23,6 +25,13 @@
         # A stream that has closed has no buffer any more, while its owner may still be listed as open.
         return 0 if self.closed() else len(self._write_buffer)
 
+    def close(self, exc_info: Any = False) -> None:
+        """As IOStream's. The error's traceback holds the stream, and the stream the error: each connection
+        that was reset would stay in memory, its buffer too, until a full collection comes by."""
+        super().close(exc_info)
+        if self.error is not None:
+            self.error.__traceback__ = None
+
     async def some(self, into: memoryview, within: float | None = None) -> int:
         """Read what there is, at least a byte; TimeoutError if none comes within so many seconds."""
         reading = self.read_into(into, partial=True)  # type: ignore[arg-type]
@@ -180,11 +189,11 @@
 
     def fill_at_hand(self, source: Stream, most: int) -> int | None:
         """Read without waiting up to ``most`` bytes; as ``Stream.at_hand`` says."""
-        if len(self.data) - self.filled < most:
-            self.data.extend(bytes(most - (len(self.data) - self.filled)))
-        with memoryview(self.data) as data:
-            size = source.at_hand(data[self.filled : self.filled + most])
-        self.filled += size or 0
+        size = source.at_hand(memoryview(SCRATCH)[:most])
+        if size:
+            # Only what came makes it grow: many connections rest, each with a buffer of its own.
+            self.data[self.filled : self.filled + size] = SCRATCH[:size]
+            self.filled += size
         return size
 
     def drop(self, size: int) -> None:
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
+import json
 import resource
+import signal
 import socket
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -11,7 +14,7 @@
 import pytest
 
 from hallproxy.wire import frames
-from tests.gateway import Client, Platform, Program, until
+from tests.gateway import ChangeLog, Client, Platform, Program, until
 
 SERVED = frames.SERVED
 
@@ -101,3 +104,35 @@
     for row in range(1, 9):
         client.ask(row=row)
     assert all(client.answer()[0] == SERVED for _ in range(8))
+
+
+def test_idle_clients_at_the_limit_while_the_log_is_down_leave_it_and_the_stores_their_connections(
+    tmp_path: Path,
+) -> None:
+    platform = Platform(tmp_path, limits={"memory_mb": 64, "sockets": 128}).start()
+    try:
+        until(lambda: platform.log.polled)
+        platform.log._http.listener.close()
+        idle = [Client(platform.program.port) for _ in range(300)]
+        for client in idle:
+            with contextlib.suppress(OSError):
+                client.send(frames.IS_READY, 0)
+        until(lambda: said(platform.program, "change log: StreamClosedError") >= 3)
+        client = platform.client()
+        for row in range(1, 9):
+            client.ask(row=row)
+            assert client.answer()[0] == SERVED
+        new = ChangeLog()
+        new.events = [*platform.log.events]
+        platform.config["changelog"] = new.address
+        (tmp_path / "config.json").write_text(json.dumps(platform.config))
+        platform.program.process.send_signal(signal.SIGHUP)
+        until(lambda: new.polled)
+        assert len(list(Path(f"/proc/{platform.program.process.pid}/fd").iterdir())) < 128
+        for one in idle:
+            one.sock.close()
+        client.ask(row=99)
+        assert client.answer()[0] == SERVED
+    finally:
+        platform.program.process.kill()
+        platform.program.wait()
--- a/tests/test_garble.py
+++ b/tests/test_garble.py
@@ -6,6 +6,7 @@
 import contextlib
 import gc
 import socket
+import struct
 import threading
 import time
 import weakref
@@ -187,6 +188,34 @@
         gc.enable()
 
 
+def test_a_connection_that_is_reset_under_a_read_is_gone_from_memory_at_once() -> None:
+    """The system's error holds the frames that met it, and they the stream: 25 MB in 45 minutes."""
+
+    async def ended() -> weakref.ref[Stream]:
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            ours = socket.create_connection(server.getsockname())
+            theirs, _ = server.accept()
+        made, buffer = stream(ours), Buffer(64)
+        theirs.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        asyncio.get_running_loop().call_soon(theirs.close)
+        with contextlib.suppress(StreamClosedError):
+            await buffer.fill(made, 1)
+        assert isinstance(made.error, ConnectionResetError)
+        made.close()
+        return weakref.ref(made)
+
+    async def both() -> weakref.ref[Stream]:
+        left = await ended()
+        await asyncio.sleep(0.01)  # what the loop had yet to call
+        return left
+
+    gc.disable()
+    try:
+        assert asyncio.run(both())() is None
+    finally:
+        gc.enable()
+
+
 def test_stores_that_come_and_go_leave_nothing_behind(made: list[Platform], tmp_path: Path) -> None:
     """A new id at an address used before, again and again: descriptors stay as they were."""
     store = Http(ok())
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -338,6 +338,20 @@
     assert got.status == 502 and "broke off" in got.body.decode()
 
 
+def test_an_error_is_not_lost_to_the_body_behind_it(front: Front) -> None:
+    """The body lies there unread when the answer goes out: the connection ends in order, not by a reset."""
+    front.start()
+    with socket.create_connection(("127.0.0.1", front.program.port), timeout=10) as made:
+        front.program.process.send_signal(signal.SIGSTOP)
+        head = b"POST /simple/ HTTP/1.1\r\nHost: x\r\nContent-Length: 60000\r\n\r\n"
+        made.sendall(head + b"x" * 60_000)
+        front.program.process.send_signal(signal.SIGCONT)
+        got = b""
+        while more := made.recv(65_536):  # a reset would be an error
+            got += more
+    assert got.startswith(b"HTTP/1.1 400 ")
+
+
 @pytest.mark.parametrize(
     ("reply", "status"),
     [
