--- a/hallproxy/run/clients.py
+++ b/hallproxy/run/clients.py
@@ -11,8 +11,8 @@
 from hallproxy.run.loop import Loop, say
 from hallproxy.run.platform_teams import PlatformTeams
 from hallproxy.run.sockets import Buffer, Stream, stream
-from hallproxy.state.calls import BUSY_RETRY
-from hallproxy.state.events import Answer, Arrived, CallerLeft, Verdict
+from hallproxy.state.calls import BUSY
+from hallproxy.state.events import Answer, Arrived, CallerLeft
 from hallproxy.wire import frames
 
 OPEN_MOST = 32  # requests open on one connection
@@ -135,7 +135,7 @@
                 raise frames.FrameError(f"stream {stream_id} is not new")
             if len(self.open) + len(self.waiting) >= OPEN_MOST:
                 # Closing would cost the client all that is open; a plain no costs it this one.
-                return self._fault(frames.answer(stream_id, Answer(Verdict.REFUSED, retry_after=BUSY_RETRY)))
+                return self._fault(frames.answer(stream_id, BUSY))
             self.waiting[stream_id] = bytes(frame.payload), self._front.loop.now()
             self._front.wait(self, stream_id)
         elif frame.kind == frames.CANCEL:
--- a/hallproxy/state/calls.py
+++ b/hallproxy/state/calls.py
@@ -17,14 +17,14 @@
 DEAF_AFTER = 5 * SECOND  # ns without news from which no own copy is served; a purge counts as told after 7 s
 OWN_BY = 0.4  # share of the aim by which an own copy must have left the link, to be taken before a store's
 BUSY_RETRY = 200_000_000  # ns of advice when more is open than the gateway may hold
+BUSY = Answer(Verdict.REFUSED, retry_after=BUSY_RETRY, reason=Reason.BUSY)
 
 
 def arrived(state: State, event: Arrived) -> None:
     asked = event.asked
     if state.refuses:
         # The process is about to end. Nothing has run, so its client may ask elsewhere at once.
-        busy = Answer(Verdict.REFUSED, retry_after=BUSY_RETRY, reason=Reason.BUSY)
-        state.effects.append(Reply(event.caller, busy))
+        state.effects.append(Reply(event.caller, BUSY))
         return
     if state.stops_at:
         asked = replace(asked, left=max(0, min(asked.left, state.stops_at - state.now)))
@@ -36,8 +36,7 @@
             return
     if len(state.callers) >= state.bounds.calls:
         # Guards memory: what is open is bounded, and over that a plain no costs least.
-        busy = Answer(Verdict.REFUSED, retry_after=BUSY_RETRY, reason=Reason.BUSY)
-        state.effects.append(Reply(event.caller, busy))
+        state.effects.append(Reply(event.caller, BUSY))
         return
     if asked.label and asked.label in state.labels:
         # Ids are new with every request: stores would take the second one for the first.
--- a/hallproxy/state/links.py
+++ b/hallproxy/state/links.py
@@ -12,7 +12,6 @@
 
 MS = 1_000_000  # ns
 KEY_MARGIN = 2 * MS  # ahead of the end of a key's window from which it is not sent again
-NEVER_RAN = (i.Status.FULL, i.Status.CONNECT_FAILED, i.Status.MOOT, i.Status.MISS)
 REASONS = {
     i.Status.OK: Reason.NONE,
     i.Status.ERROR: Reason.ERROR,
@@ -59,11 +58,10 @@
         return _over(state, one, i.Status.MOOT)
     if len(state.links) >= state.bounds.links and not _make_room(state):
         return _over(state, one, i.Status.MOOT)
-    address, started = state.members.process(get.server)
-    link = Link(state.number(), get.server, address, started, one)
+    link = Link(state.number(), get.server, state.members.process(get.server), one)
     one.link = link.ident
     state.links[link.ident] = link
-    state.effects.append(Open(link.ident, address))
+    state.effects.append(Open(link.ident, link.process[0]))
     state.effects.append(Wake(LinkDue(state.now + state.settings.connect_timeout, link.ident)))
 
 
@@ -136,9 +134,10 @@
     cls = state.settings.classes[call.asked.cls]
     if cls.effect is i.Effect.SAFE:
         return True
-    first = min((a.written_at for a in call.attempts.values() if a.written), default=call.ran_at)
-    first = min(first, call.ran_at or first)
-    return not first or (cls.effect is i.Effect.KEYED and state.now - first < cls.window - KEY_MARGIN)
+    written = [a.written_at for a in call.attempts.values() if a.written]
+    written += [call.ran_at] if call.ran_at else []
+    inside = cls.effect is i.Effect.KEYED and state.now - min(written, default=0) < cls.window - KEY_MARGIN
+    return not written or inside
 
 
 def _processes(state: State, get: i.Get) -> tuple[tuple[str, int], tuple[str, int]]:
@@ -147,7 +146,7 @@
 
 def _leads_there(state: State, link: Link) -> bool:
     """Whether the store is still the process that the connection was opened to."""
-    return state.members.process(link.store) == (link.address, link.started)
+    return state.members.process(link.store) == link.process
 
 
 def answered(state: State, event: Answered) -> None:
@@ -285,7 +284,7 @@
     del state.attempts[one.ident]
     call = state.calls[one.request]
     del call.attempts[one.number]
-    if one.written and status not in NEVER_RAN:
+    if one.written and status not in teams.NEVER_RAN:
         call.ran_at = min(one.written_at, call.ran_at or one.written_at)
     if state.broker is not None:
         teams.attempt_over(state, state.broker, call, one, status)
--- a/hallproxy/state/model.py
+++ b/hallproxy/state/model.py
@@ -62,8 +62,7 @@
 
     ident: int
     store: bytes
-    address: str  # as the list told it when the connection was asked for, ...
-    started: int  # ...and the start of that process
+    process: tuple[str, int]  # its address and start, as listed when the connection was asked for
     attempt: Attempt | None = None
     up: bool = False
     idle_since: int = 0
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
+from typing import Any
 
 import pytest
 
+from tests.gateway import Platform
 from tests.known_red import KnownRed
 from tests.test_repository import Front, serving
 
@@ -20,3 +22,28 @@
 def front(tmp_path: Path) -> Iterator[Front]:
     """A second front with one stand-in upstream, stopped after the test."""
     yield from serving(Front(tmp_path))
+
+
+@pytest.fixture
+def platform(tmp_path: Path) -> Iterator[Platform]:
+    made = Platform(tmp_path).start()
+    yield made
+    if made.program.process.poll() is None:
+        made.program.process.kill()
+    made.program.wait()
+
+
+@pytest.fixture
+def start(tmp_path: Path) -> Iterator[Callable[..., Platform]]:
+    started: list[Platform] = []
+
+    def make(**more: Any) -> Platform:
+        fields = {k: more.pop(k) for k in ("limits", "caches", "changed") if k in more}
+        started.append(Platform(tmp_path, **fields).start(**more))
+        return started[-1]
+
+    yield make
+    for platform in started:
+        if platform.program.process.poll() is None:
+            platform.program.process.kill()
+        platform.program.wait()
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -39,6 +39,12 @@
     return time.time_ns() // 1_000_000
 
 
+def reset(sock: socket.socket) -> None:
+    """Close the connection so that the other side meets a reset."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
 class Listener:
     """A TCP server whose connections are handled by one function each, in threads."""
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -11,7 +11,6 @@
 import select
 import signal
 import socket
-import struct
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -45,6 +44,7 @@
     now_ms,
     ok,
     platform_settings,
+    reset,
     response,
     until,
 )
@@ -53,21 +53,6 @@
 SERVED, REFUSED, FAILED = frames.SERVED, frames.REFUSED, frames.FAILED
 
 
-@pytest.fixture
-def start(tmp_path: Path) -> Iterator[Callable[..., Platform]]:
-    started: list[Platform] = []
-
-    def make(**more: Any) -> Platform:
-        started.append(Platform(tmp_path, **more).start())
-        return started[-1]
-
-    yield make
-    for platform in started:
-        if platform.program.process.poll() is None:
-            platform.program.process.kill()
-        platform.program.wait()
-
-
 @contextmanager
 def stopped(program: Program) -> Iterator[None]:
     """The process stands still: what comes meanwhile lies there together when it goes on."""
@@ -78,11 +63,6 @@
     program.process.send_signal(signal.SIGCONT)
 
 
-def reset(sock: socket.socket) -> None:
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    sock.close()
-
-
 def well(platform: Platform, row: int = 999) -> None:
     """Whoever comes now is served: what came before has been read by then."""
     client = platform.client()
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -11,23 +11,12 @@
 from contextlib import contextmanager
 from pathlib import Path
 
-import pytest
-
 from hallproxy.wire import frames
 from tests.gateway import ChangeLog, Client, Platform, Program, until
 
 SERVED = frames.SERVED
 
 
-@pytest.fixture
-def platform(tmp_path: Path) -> Iterator[Platform]:
-    made = Platform(tmp_path).start()
-    yield made
-    if made.program.process.poll() is None:
-        made.program.process.kill()
-    made.program.wait()
-
-
 @contextmanager
 def none_left(program: Program, again: bool = False) -> Iterator[None]:
     """The process may open no descriptor; ``again``: but it may use again those that it closes."""
--- a/tests/test_garble.py
+++ b/tests/test_garble.py
@@ -6,11 +6,10 @@
 import contextlib
 import gc
 import socket
-import struct
 import threading
 import time
 import weakref
-from collections.abc import Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from pathlib import Path
 from typing import Any
 
@@ -19,7 +18,7 @@
 
 from hallproxy.run.sockets import Buffer, Stream, stream
 from hallproxy.wire import frames
-from tests.gateway import Client, Http, Listener, Platform, member, ok, read_request, response, until
+from tests.gateway import Client, Http, Listener, Platform, member, ok, read_request, reset, response, until
 
 SERVED, REFUSED, FAILED = frames.SERVED, frames.REFUSED, frames.FAILED
 GOOD = response(200, b"bytes", ETag="t1", X_Born_Ms="1")
@@ -161,6 +160,21 @@
     assert not [x for x in platform.program.lines if "fault" in x]
 
 
+def gone_uncollected(ended: Callable[[], Awaitable[weakref.ref[Stream]]]) -> bool:
+    """Whether the stream that has ended is gone from memory with no collection made."""
+
+    async def both() -> weakref.ref[Stream]:
+        left = await ended()
+        await asyncio.sleep(0.01)  # what the loop had yet to call
+        return left
+
+    gc.disable()
+    try:
+        return asyncio.run(both())() is None
+    finally:
+        gc.enable()
+
+
 @pytest.mark.parametrize("within", [None, 5.0, 0.01])
 def test_a_connection_that_ends_under_a_read_is_gone_from_memory_at_once(within: float | None) -> None:
     """Thousands end in a day: kept in a ring of references, they grew the memory by a megabyte every 15 s."""
@@ -176,16 +190,7 @@
         theirs.close()
         return weakref.ref(made)
 
-    async def both() -> weakref.ref[Stream]:
-        left = await ended()
-        await asyncio.sleep(0.01)  # what the loop had yet to call
-        return left
-
-    gc.disable()
-    try:
-        assert asyncio.run(both())() is None
-    finally:
-        gc.enable()
+    assert gone_uncollected(ended)
 
 
 def test_a_connection_that_is_reset_under_a_read_is_gone_from_memory_at_once() -> None:
@@ -196,24 +201,14 @@
             ours = socket.create_connection(server.getsockname())
             theirs, _ = server.accept()
         made, buffer = stream(ours), Buffer(64)
-        theirs.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        asyncio.get_running_loop().call_soon(theirs.close)
+        asyncio.get_running_loop().call_soon(reset, theirs)
         with contextlib.suppress(StreamClosedError):
             await buffer.fill(made, 1)
         assert isinstance(made.error, ConnectionResetError)
         made.close()
         return weakref.ref(made)
 
-    async def both() -> weakref.ref[Stream]:
-        left = await ended()
-        await asyncio.sleep(0.01)  # what the loop had yet to call
-        return left
-
-    gc.disable()
-    try:
-        assert asyncio.run(both())() is None
-    finally:
-        gc.enable()
+    assert gone_uncollected(ended)
 
 
 def test_stores_that_come_and_go_leave_nothing_behind(made: list[Platform], tmp_path: Path) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,7 +10,7 @@
 import sys
 import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -23,22 +23,6 @@
 HALF = response(200, b"x" * 1000, ETag="t", X_Born_Ms="1")[:-500]
 
 
-@pytest.fixture
-def start(tmp_path: Path) -> Iterator[Callable[..., Platform]]:
-    started: list[Platform] = []
-
-    def make(**more: Any) -> Platform:
-        fields = {k: more.pop(k) for k in ("limits", "caches", "changed") if k in more}
-        started.append(Platform(tmp_path, **fields).start(**more))
-        return started[-1]
-
-    yield make
-    for platform in started:
-        if platform.program.process.poll() is None:
-            platform.program.process.kill()
-        platform.program.wait()
-
-
 def connecting(port: int) -> int:
     """How many connections to the port are being opened (SYN sent, state 02) on this machine."""
     rows = [line.split() for line in Path("/proc/net/tcp").read_text().splitlines()[1:]]
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -6,7 +6,7 @@
 import signal
 import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -18,15 +18,6 @@
 SERVED = frames.SERVED
 
 
-@pytest.fixture
-def platform(tmp_path: Path) -> Iterator[Platform]:
-    made = Platform(tmp_path).start()
-    yield made
-    if made.program.process.poll() is None:
-        made.program.process.kill()
-    made.program.wait()
-
-
 def hang_up(platform: Platform, text: str | None = None, **changed: Any) -> None:
     """Replace the file and send SIGHUP; what the program says of it is waited for."""
     platform.config |= changed
