--- /dev/null
+++ b/hallproxy/relay/status.py
@@ -0,0 +1,129 @@
+"""What a relay says of itself, and the tree that many of them make."""
+
+from __future__ import annotations
+
+import http.client
+import json
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+from hallproxy.feed import MS
+from hallproxy.relay.front import HELD, Front
+from hallproxy.relay.upstream import Upstream
+from hallproxy.run.config import Address, ConfigError, address
+
+NUMBERS_MOST = 64  # numbers told of, the lowest ones
+WITHIN = 2.0  # s for an answer
+PAGE_MOST = 1024 * 1024  # bytes of one
+
+Status = dict[str, Any]
+
+
+def text(where: Address) -> str:
+    return f"{where[0]}:{where[1]}"
+
+
+def status(name: str, front: Front, upstream: Upstream, sources: Iterable[Address], now: int) -> Status:
+    log, current, confirmed = front.log, front.current, front.confirmed
+    known = [c for c in front.connections if c.number is not None]
+    slowest = min(known, key=lambda c: (c.number, c.touched), default=None)
+    numbers = sorted(confirmed.by_number.items())[:NUMBERS_MOST]
+    never = upstream.where is None
+    return {
+        "name": name,
+        "upstream": [text(where) for where in sources],
+        "follows": None if upstream.where is None else text(upstream.where),
+        "via": list(current.above),
+        "current": not current.behind(now),
+        "behind_ms": None if never else (now - current.asked) // MS,
+        "age": None if never else current.age(now),
+        "life": log.life,
+        "doubtful": log.doubtful,
+        "first": log.told.first,
+        "last": log.told.last,
+        "cut": log.cut,
+        "generation": log.told.generation,
+        "members": len(log.told.members),
+        "connections": len(front.connections),
+        "followers": confirmed.followers,
+        "held": sum(c.state == HELD for c in known),
+        "lowest": confirmed.lowest,
+        "slowest": None
+        if slowest is None
+        else {"peer": slowest.peer, "number": slowest.number, "silent_ms": (now - slowest.touched) // MS},
+        "numbers": [{"number": number, "followers": count} for number, count in numbers],
+        "confirmed_ms": confirmed.delays(),
+        "unconfirmed": confirmed.waiting(),
+        "pages": {"built": log.pages.built, "held": len(log.pages), "bytes": log.pages.bytes},
+        "answers": dict(front.counts),
+        "heard": {"events": upstream.events, "bytes": upstream.bytes},
+    }
+
+
+def fetch(at: str) -> Status:
+    """One relay's status; where it can't be had, ``error`` says why."""
+    host, port = address(at)
+    asking = http.client.HTTPConnection(host, port, timeout=WITHIN)
+    try:
+        asking.request("GET", "/status", headers={"Connection": "close"})
+        answer = asking.getresponse()
+        body = answer.read(PAGE_MOST)
+        if answer.status != 200:
+            return {"error": f"answer {answer.status}"}
+        found = json.loads(body)
+        return found if isinstance(found, dict) else {"error": "no object"}
+    except (OSError, http.client.HTTPException) as error:
+        return {"error": getattr(error, "strerror", None) or str(error) or type(error).__name__}
+    except ValueError:
+        return {"error": "no JSON"}
+    finally:
+        asking.close()
+
+
+def fetch_all(addresses: Sequence[str]) -> dict[str, Status]:
+    if len(set(addresses)) < len(addresses):
+        raise ConfigError("an address is named twice")
+    return {text(address(at)): fetch(at) for at in addresses}
+
+
+def tree(found: dict[str, Status]) -> list[str]:
+    """The relays as lines, each below the one that it follows; who was not asked is named alone."""
+    below: dict[str, list[str]] = {}
+    for at, said in found.items():
+        below.setdefault(str(said.get("follows") or "?") if "error" not in said else "", []).append(at)
+    lines: list[str] = []
+    shown: set[str] = set()
+
+    def show(at: str, depth: int) -> None:
+        shown.add(at)
+        lines.append("  " * depth + _line(at, found.get(at)))
+        for child in sorted(below.get(at, ())):
+            if child not in shown:
+                show(child, depth + 1)
+
+    for root in sorted(set(below) - set(found) - {"", "?"}):
+        show(root, 0)
+    for at in sorted(found):
+        if at not in shown and found[at].get("follows") not in found:
+            show(at, 0)
+    for at in sorted(found):
+        if at not in shown:  # they follow each other
+            show(at, 0)
+    return lines
+
+
+def _line(at: str, said: Status | None) -> str:
+    if said is None:
+        return at
+    if "error" in said:
+        return f"{at}  not reached: {said['error']}"
+    state = "current" if said.get("current") else "BEHIND"
+    line = f"{at}  {said.get('name')}  {state}  age {said.get('age')} s  at {said.get('last')}"
+    line += f"  {said.get('followers')} followers"
+    slowest = said.get("slowest")
+    if slowest:
+        line += f", lowest {said.get('lowest')} ({slowest.get('peer')})"
+    delays = said.get("confirmed_ms") or {}
+    if delays.get("count"):
+        line += f"  confirmed by all in {delays['p50']:g} ms (p99 {delays['p99']:g}, max {delays['max']:g})"
+    return line
--- /dev/null
+++ b/hallproxy/relay/upstream.py
@@ -0,0 +1,73 @@
+"""The one that the relay follows: the log, or another relay."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from hallproxy.feed import MS, FeedError
+from hallproxy.feed.confirmed import Confirmed
+from hallproxy.feed.current import Current, via_names
+from hallproxy.feed.log import Log
+from hallproxy.run.changelog import Answer, Follower, Sources
+from hallproxy.run.config import Address
+from hallproxy.wire.changelog import ChangeError, age
+
+ANSWER_IN = 0.25  # s past the wait that was asked for after which a poll has failed
+
+
+class Upstream(Follower):
+    """Puts what it hears into ``log``; ``changed`` is called behind each page that was taken."""
+
+    def __init__(
+        self,
+        sources: Sources,
+        wait: int,
+        log: Log,
+        current: Current,
+        confirmed: Confirmed,
+        now: Callable[[], int],
+        changed: Callable[[], None],
+    ) -> None:
+        others = len(getattr(sources, "addresses", ())) > 1
+        super().__init__(sources, log.asks, wait, ANSWER_IN, coded=True, others=others)
+        self._log, self._current, self._confirmed = log, current, confirmed
+        self._clock, self._changed = now, changed
+        self.where: Address | None = None  # who answered last
+        self.events = self.bytes = 0
+
+    @property
+    def wait(self) -> int:
+        """ms that a poll is held by the one above."""
+        return self._wait
+
+    @wait.setter
+    def wait(self, wait: int) -> None:
+        self._wait = wait
+
+    def now(self) -> int:
+        return self._clock()
+
+    def take(self, answer: Answer) -> None:
+        log, now, life = self._log, self.now(), self._log.life
+        fields = answer.head.fields
+        via, told = via_names(fields.get("via", "")), age(fields.get("age", "0"))
+        try:
+            self._current.check(via)
+            came = log.take(answer.page, now)
+        except FeedError as error:
+            raise ChangeError(str(error)) from None
+        finally:
+            self.since = log.asks  # a page that can't be used may yet say where to begin anew
+        if log.life != life:
+            self._confirmed.restart()
+        self._confirmed.arrived(log.told.last, came, now)
+        self.where = answer.where
+        self.events += came
+        self.bytes += answer.size
+        if log.caught_up:
+            asked = answer.asked
+            # Held to its end with nothing to tell, and left open: it was put together no sooner than that.
+            if not came and answer.head.keeps and now - asked >= self._wait * MS:
+                asked += self._wait * MS
+            self._current.told(asked, told, via)
+        self._changed()
--- a/hallproxy/run/main.py
+++ b/hallproxy/run/main.py
@@ -178,6 +178,11 @@
     commands = parser.add_subparsers(dest="command")
     serving = commands.add_parser("repository", help="serve package repositories, as a deploy file says")
     serving.add_argument("file", type=Path, nargs="?", default=Path("deploy/repository.toml"))
+    relaying = commands.add_parser("relay", help="pass the change log on to many, as a file says")
+    relaying.add_argument("file", type=Path)
+    looking = commands.add_parser("relay-status", help="how far relays and their followers are, as a tree")
+    looking.add_argument("addresses", metavar="ADDRESS", nargs="+", help="where a relay listens")
+    looking.add_argument("--json", action="store_true")
     using = commands.add_parser("usage", help="what teams use of a running front")
     using.add_argument("--at", default="127.0.0.1:8081", help="where the front listens")
     using.add_argument("--team", required=True)
@@ -200,6 +205,15 @@
     print(json.dumps(shown, indent=1) if args.json else "\n".join(usage.lines(shown)))
 
 
+def _relay_status(args: argparse.Namespace) -> int:
+    """1 where one of them can't be reached."""
+    from hallproxy.relay import status
+
+    found = status.fetch_all(args.addresses)
+    print(json.dumps(found, indent=1) if args.json else "\n".join(status.tree(found)))
+    return int(any("error" in said for said in found.values()))
+
+
 def _plan(args: argparse.Namespace) -> None:
     out = args.out or args.file.with_name(args.file.name + ".plan")
     changes = contracts.plan(args.file, args.state, out)
@@ -232,6 +246,14 @@
 
                 settled = repository_config.load(args.file)
                 asyncio.run(_until_stopped(partial(repository.serve, args.file, settled)))
+            case "relay":
+                from hallproxy.relay import config as relay_config
+                from hallproxy.relay import serve as relay
+
+                read = relay_config.load(args.file)
+                asyncio.run(_until_stopped(partial(relay.serve, args.file, read)))
+            case "relay-status":
+                return _relay_status(args)
             case _:
                 asyncio.run(_until_stopped(partial(serve, load(os.environ), args.teams)))
     except (ConfigError, ContractError, SettingsError, ChangeError) as error:
