A change log's follower is a class of its own, whom it asks another

Need: a gateway that may follow one of several relays, and a relay that follows a log or a relay, do the same polls as the gateway's poller. Follower has what they share; Sources says whom to ask (One: a single address, as until now); Poller is the gateway's. New in the base, used by nobody yet: compressed answers, 503 as 'not current', shorter bounds where there are others, a second connection's poll for the way back. Subclasses find asked_again (a gap stands) and follow().

--- a/hallproxy/run/changelog.py
+++ b/hallproxy/run/changelog.py
@@ -1,17 +1,27 @@
-"""The change log's poller: one long poll after another, each from the last event held."""
+"""Following a change log: one long poll after another, each from the last event held."""
 
 from __future__ import annotations
 
 import asyncio
 import socket
-from typing import Any
+from abc import ABC, abstractmethod
+from dataclasses import dataclass, field
+from typing import Any, Protocol
 
 from hallproxy.run.config import Address
 from hallproxy.run.loop import Loop, say
 from hallproxy.run.sockets import Buffer, Stream, stream
 from hallproxy.run.stores import read_body, read_head
 from hallproxy.state.events import NewsHeard
-from hallproxy.wire.changelog import WAIT_MOST, ChangeError, poll_head, read_events, read_page
+from hallproxy.wire.changelog import (
+    WAIT_MOST,
+    ChangeError,
+    age,
+    poll_head,
+    read_events,
+    read_page,
+    unpack,
+)
 from hallproxy.wire.http1 import Head
 
 WAIT = 1_000  # ms a poll is held; short, so that a log that has gone silent is noticed
@@ -19,7 +29,71 @@
 ANSWER_IN = 0.25  # s past the wait that was asked for after which a poll has failed
 PAUSE = 0.05  # s at least from one connect to the next
 CURRENT_IN = 2.0  # s for a first answer; what a broken log would have told counts as told so long after
-PAGE_MOST = 16 * 1024 * 1024
+PAGE_MOST = 16 * 1024 * 1024  # bytes of a page, as it comes and unpacked
+# Where others can be asked instead:
+OTHERS_CONNECT_IN = 0.4  # s
+OTHERS_FIRST_IN = 0.6  # s for the answer to a poll that does not wait
+TRIES = 5  # polls on a second connection until it is where the first one is, ...
+TRY_AGAIN = 0.1  # ...so many s from one to the next
+
+
+class Sources(Protocol):
+    """Whom to ask: an order of addresses, and what is known of them. Times are Unix ns."""
+
+    def pick(self, now: int) -> Address: ...  # whom to ask next
+
+    def failed(self, where: Address, now: int) -> float: ...  # s to wait before the next connect
+
+    def good(self, where: Address, now: int) -> None: ...
+
+    def better(self, now: int) -> Address | None: ...  # one that should be followed instead, to be tried
+
+
+@dataclass(slots=True, frozen=True)
+class One:
+    """A single address, asked again at once whatever it does."""
+
+    where: Address
+
+    def pick(self, now: int) -> Address:
+        return self.where
+
+    def failed(self, where: Address, now: int) -> float:
+        return 0.0
+
+    def good(self, where: Address, now: int) -> None:
+        pass
+
+    def better(self, now: int) -> Address | None:
+        return None
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """A poll's good answer (200), unpacked and read."""
+
+    page: dict[str, Any]
+    head: Head
+    asked: int  # Unix ns; when the poll went out
+    where: Address
+    size: int  # bytes of the body as it came
+
+
+@dataclass(slots=True)
+class _Open:
+    """A connection to one address; ``fresh``: nothing has been asked on it yet."""
+
+    made: Stream
+    where: Address
+    buffer: Buffer = field(default_factory=Buffer)
+    fresh: bool = True
+
+    async def connect(self, within: float) -> None:
+        await asyncio.wait_for(self.made.connect(self.where), within)
+
+
+def _opened(where: Address) -> _Open:
+    return _Open(stream(socket.socket(socket.AF_INET, socket.SOCK_STREAM)), where)
 
 
 async def _page(made: Stream, buffer: Buffer) -> tuple[Head, bytes]:
@@ -27,12 +101,202 @@
     return head, await read_body(made, buffer, head, PAGE_MOST)
 
 
-class Poller:
-    def __init__(self, loop: Loop, where: Address, since: int) -> None:
-        self._loop, self._where, self._since = loop, where, since
-        self._gap = -1  # the number before a gap that the log was asked about once
-        self._made: Stream | None = None
-        self._current = asyncio.Event()  # the log has answered once
+class Follower(ABC):
+    """One poll after another, of whom ``sources`` names; what the answers mean is a subclass's.
+
+    ``wait`` (ms) is how long a poll is held, ``answer_in`` the s past it after which it has failed.
+    ``coded``: answers may come compressed, and 503 says "not current, ask elsewhere". ``others``: there are
+    more addresses than one, so one that does not answer is left sooner.
+    """
+
+    def __init__(
+        self, sources: Sources, since: int, wait: int, answer_in: float, coded: bool, others: bool = False
+    ) -> None:
+        self.since = since  # number of the last event held
+        self.others = others
+        self._sources, self._wait, self._answer_in, self._coded = sources, wait, answer_in, coded
+        self._gap = -1  # the number before a gap that was asked about once
+        self._open: _Open | None = None
+        self._trial: asyncio.Task[None] | None = None
+        self._heard = asyncio.Event()  # answered once
+        self._behind = False  # it was said that who is followed is not current
+
+    @abstractmethod
+    def now(self) -> int:
+        """Unix ns; never goes back."""
+
+    @abstractmethod
+    def take(self, answer: Answer) -> None:
+        """Take the news and set ``since``; ChangeError where it can't be used."""
+
+    @property
+    def asked_again(self) -> bool:
+        """What comes now answers a second question from the same number: a gap in it stands."""
+        return self._gap == self.since
+
+    @property
+    def _made(self) -> Stream | None:
+        return self._open.made if self._open is not None else None
+
+    def follow(self, sources: Sources) -> None:
+        """Ask these from now on. What the former address is still sending is dropped whole."""
+        self._sources = sources
+        if self._open is not None:
+            self._open.made.close()
+
+    async def run(self) -> None:
+        """Poll for ever. Whatever fails is tried again; what was held is not lost by it."""
+        try:
+            while True:
+                await self._connection()
+        finally:
+            if self._trial is not None:
+                self._trial.cancel()
+
+    async def _connection(self) -> None:
+        """From one connect to the next."""
+        sources, began = self._sources, asyncio.get_running_loop().time()
+        where = sources.pick(self.now())
+        self._open = None
+        try:
+            # In here too: with no descriptor left this fails, and the poll must outlive that.
+            self._open = _opened(where)
+            await self._open.connect(OTHERS_CONNECT_IN if self.others else CONNECT_IN)
+            while await self._poll(sources):
+                pass
+        except Exception as error:  # whatever it is: a gateway that hears no news breaks rules
+            if sources is self._sources:
+                say(f"change log: {type(error).__name__} {error}")
+        finally:
+            if self._open is not None:
+                where = self._open.where
+                self._open.made.close()
+        # A poll that broke or went silent is asked again at once, as what it would have told counts as
+        # told; a log that takes connections and ends them, or takes none, is not asked without pause.
+        if sources is self._sources:
+            rest = sources.failed(where, self.now())
+            await asyncio.sleep(max(0.0, began + PAUSE - asyncio.get_running_loop().time(), rest))
+
+    async def _poll(self, sources: Sources) -> bool:
+        """One poll; false: the connection is to be left."""
+        opened = self._open
+        assert opened is not None
+        self._try_better(sources, opened)
+        # The first one only asks what is new; where there are others, also each first one on a connection,
+        # as one that takes connections and is silent then is left sooner.
+        holds = self._heard.is_set() and not (opened.fresh and self.others)
+        opened.fresh = False
+        try:
+            asked, head, body = await self._ask(opened, min(self._wait, WAIT_MOST) if holds else 0)
+        except Exception:
+            if opened is not self._open and sources is self._sources:
+                return True  # closed here, as another has taken its place
+            raise
+        if sources is not self._sources:
+            return False  # moved while the last bytes of this were read
+        if opened is not self._open:
+            return True  # the one that has taken its place tells it
+        if head.status == 503 and self._coded:
+            if not self._behind:
+                say(f"change log: {opened.where[0]}:{opened.where[1]} is not current")
+            self._behind = True
+            return False
+        self._take(sources, opened.where, asked, head, body)
+        return head.keeps
+
+    async def _ask(self, opened: _Open, wait: int) -> tuple[int, Head, bytes]:
+        asked = self.now()
+        host = f"{opened.where[0]}:{opened.where[1]}"
+        opened.made.gather([poll_head(self.since, wait, host, self._coded)])
+        first_in = OTHERS_FIRST_IN if self.others else CONNECT_IN
+        limit = wait / 1000 + self._answer_in if wait else first_in
+        head, body = await asyncio.wait_for(_page(opened.made, opened.buffer), limit)
+        return asked, head, body
+
+    def _take(self, sources: Sources, where: Address, asked: int, head: Head, body: bytes) -> None:
+        if head.status != 200:
+            raise ChangeError(f"answer {head.status}")
+        plain = self._plain(head, body)
+        try:
+            self.take(Answer(read_page(plain), head, asked, where, len(body)))
+        except ChangeError:
+            self._gap = self.since
+            raise
+        sources.good(where, self.now())
+        self._heard.set()
+        self._behind = False
+
+    def _plain(self, head: Head, body: bytes) -> bytes:
+        return unpack(body, head.fields.get("content-encoding", ""), PAGE_MOST) if self._coded else body
+
+    def _try_better(self, sources: Sources, opened: _Open) -> None:
+        """See whether a better address may be followed again, beside the polls: none of them waits for it."""
+        if self._trial is not None and not self._trial.done():
+            return
+        better = sources.better(self.now())
+        if better is not None and better != opened.where:
+            self._trial = asyncio.get_running_loop().create_task(self._try(sources, better))
+
+    async def _try(self, sources: Sources, where: Address) -> None:
+        """Ask on a second connection; it takes the first one's place with its first answer that goes on
+        from what is held then. All others of its answers are dropped."""
+        tried: _Open | None = None
+        try:
+            tried = _opened(where)
+            await tried.connect(OTHERS_CONNECT_IN)
+            tried.fresh = False
+            for _ in range(TRIES):
+                since = self.since
+                asked, head, body = await self._ask(tried, 0)
+                if sources is not self._sources:
+                    return
+                if head.status != 200 or not head.keeps:
+                    raise ChangeError(f"answer {head.status}")
+                # Behind what is held, or what is held has moved on: taking it would go back, or leave a gap.
+                page = read_page(self._plain(head, body))
+                if since == self.since and self._last(page) >= since:
+                    former, gap = self._open, self._gap
+                    try:
+                        self._take(sources, where, asked, head, body)
+                    except ChangeError:
+                        self._gap = gap  # the one that is followed was not asked twice by this
+                        raise
+                    self._open, tried = tried, None
+                    if former is not None:
+                        former.made.close()
+                    return
+                await asyncio.sleep(TRY_AGAIN)
+            sources.failed(where, self.now())
+        except Exception:  # it is tried again later, and says so only when it is followed
+            if sources is self._sources:
+                sources.failed(where, self.now())
+        finally:
+            if tried is not None:
+                tried.made.close()
+
+    @staticmethod
+    def _last(page: dict[str, Any]) -> int:
+        """The number that the page brings its reader to."""
+        try:
+            return max([int(page.get("seq", 0)), *(int(entry["seq"]) for entry in page["results"])])
+        except (KeyError, TypeError, ValueError):
+            raise ChangeError("a page without numbers") from None
+
+
+class Poller(Follower):
+    """The gateway's: it brings what is new to the reducer."""
+
+    def __init__(self, loop: Loop, whom: Address | Sources, since: int) -> None:
+        sources = One(whom) if isinstance(whom, tuple) else whom
+        super().__init__(sources, since, WAIT, ANSWER_IN, coded=not isinstance(sources, One))
+        self._loop = loop
+        self._set_others()
+
+    def _set_others(self) -> None:
+        self.others = len(getattr(self._sources, "addresses", ())) > 1
+
+    def now(self) -> int:
+        return self._loop.now()
 
     async def current(self) -> None:
         """Wait until the log has told all that is newer than ``known``, or has had its time for that.
@@ -41,72 +305,35 @@
         a request sent in the meantime could go to a server announced as leaving.
         """
         try:
-            await asyncio.wait_for(self._current.wait(), CURRENT_IN)
+            await asyncio.wait_for(self._heard.wait(), CURRENT_IN)
         except TimeoutError:
-            self._current.set()
+            self._heard.set()
             say(f"change log: no answer in {CURRENT_IN:g} s, beginning with what the configuration knows")
 
-    def move(self, where: Address, known: dict[str, Any]) -> None:
+    def move(self, whom: Address | Sources, known: dict[str, Any]) -> None:
         """Follow the log at its new address from now on: the numbers go on, and so does what is held.
 
         What the old address is still sending is dropped whole; the new one tells it from the last event held.
         """
         try:
-            self._take(known, False, live=False)
+            self._bring(known, False, live=False)
         except ChangeError as error:  # `known` may start later than what is held: the log has the rest
             say(f"change log: {error}")
-        if where != self._where:
-            self._where = where
-            if self._made is not None:
-                self._made.close()
+        sources = One(whom) if isinstance(whom, tuple) else whom
+        if sources != self._sources:
+            self.follow(sources)
+            self._set_others()
 
-    async def run(self) -> None:
-        """Poll for ever. Whatever fails is tried again; what was held is not lost by it."""
-        while True:
-            where, began = self._where, asyncio.get_running_loop().time()
-            made = None
-            try:
-                # In here too: with no descriptor left this fails, and the poll must outlive that.
-                self._made = made = stream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
-                await asyncio.wait_for(made.connect(where), CONNECT_IN)
-                buffer = Buffer()
-                while await self._poll(made, buffer, where):
-                    pass
-            except Exception as error:  # whatever it is: a gateway that hears no news breaks rules
-                if where == self._where:
-                    say(f"change log: {type(error).__name__} {error}")
-            finally:
-                if made is not None:
-                    made.close()
-            # A poll that broke or went silent is asked again at once, as what it would have told counts as
-            # told; a log that takes connections and ends them, or takes none, is not asked without pause.
-            if where == self._where:
-                await asyncio.sleep(max(0.0, began + PAUSE - asyncio.get_running_loop().time()))
-
-    async def _poll(self, made: Stream, buffer: Buffer, where: Address) -> bool:
-        asked = self._loop.now()
-        wait = min(WAIT, WAIT_MOST) if self._current.is_set() else 0  # the first one only asks what is new
-        made.gather([poll_head(self._since, wait, f"{where[0]}:{where[1]}")])
-        limit = wait / 1000 + ANSWER_IN if wait else CONNECT_IN
-        head, body = await asyncio.wait_for(_page(made, buffer), limit)
-        if where != self._where:
-            return False  # the log has moved while the last bytes of this were read
-        if head.status != 200:
-            raise ChangeError(f"answer {head.status}")
-        try:
-            self._take(read_page(body), self._gap == self._since)
-        except ChangeError:
-            self._gap = self._since
-            raise
+    def take(self, answer: Answer) -> None:
+        told = age(answer.head.fields.get("age", "0")) if self._coded else 0
+        self._bring(answer.page, self.asked_again)
         # An answer that brings news may have been put together when it was asked for.
-        self._loop.bring(NewsHeard(asked))
-        self._current.set()
-        return head.keeps
+        self._loop.bring(NewsHeard(answer.asked - told))
 
-    def _take(self, page: dict[str, Any], gaps: bool, live: bool = True) -> None:
+    def _bring(self, page: dict[str, Any], gaps: bool, live: bool = True) -> None:
         """Bring the events that are new, each of them whole or not at all."""
         state = self._loop.state
-        for seq, event in read_events(page, self._since, state.settings, self._loop.now(), gaps, live):
+        for seq, event in read_events(page, self.since, state.settings, self._loop.now(), gaps, live):
             if event is not None:
                 self._loop.bring(event)
-            self._since = seq
+            self.since = seq
--- a/hallproxy/wire/changelog.py
+++ b/hallproxy/wire/changelog.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import zlib
 from collections.abc import Iterator
 from typing import Any
 
@@ -11,6 +12,7 @@
 from hallproxy.wire.bench import member_from_json
 
 MS = 1_000_000
+SECOND = 1_000_000_000
 WAIT_MOST = 5_000  # ms
 
 
@@ -18,8 +20,37 @@
     """News that can't be read; the text says what."""
 
 
-def poll_head(since: int, wait_ms: int, host: str) -> bytes:
-    return f"GET /changes?since={since}&timeout={wait_ms} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode()
+def poll_head(since: int, wait_ms: int, host: str, coded: bool = False) -> bytes:
+    """``coded``: the answer may come compressed."""
+    accepts = "Accept-Encoding: gzip\r\n" if coded else ""
+    return f"GET /changes?since={since}&timeout={wait_ms} HTTP/1.1\r\nHost: {host}\r\n{accepts}\r\n".encode()
+
+
+def unpack(body: bytes, coding: str, most: int) -> bytes:
+    """The body without its coding (Content-Encoding; gzip or none), ``most`` bytes at most."""
+    match coding.strip().lower():
+        case "" | "identity":
+            return body
+        case "gzip" | "x-gzip":
+            unpacking = zlib.decompressobj(wbits=31)
+            try:
+                plain = unpacking.decompress(body, most + 1)
+            except zlib.error as error:
+                raise ChangeError(f"news that can't be unpacked: {error}") from None
+            # Guards the memory against a small body that stands for a huge one.
+            if len(plain) > most:
+                raise ChangeError(f"news of over {most} bytes")
+            if not unpacking.eof or unpacking.unused_data:
+                raise ChangeError("news that can't be unpacked: it does not end with its coding")
+            return plain
+    raise ChangeError(f"news in a coding that nobody asked for: {coding[:40]!r}")
+
+
+def age(text: str) -> int:
+    """How old (ns) an answer's news is, by its ``Age`` (RFC 9111, 5.1: whole seconds)."""
+    if not (text.isascii() and text.isdigit() and len(text) <= 10):
+        raise ChangeError(f"an age that is no number: {text[:40]!r}")
+    return int(text) * SECOND
 
 
 def read_page(raw: bytes | str) -> dict[str, Any]:
