--- a/hallproxy/run/changelog.py
+++ b/hallproxy/run/changelog.py
@@ -241,7 +241,6 @@
         """Ask on a second connection; it takes the first one's place with its first answer that goes on
         from what is held then. All others of its answers are dropped."""
         tried: _Open | None = None
-        gap = self._gap
         try:
             tried = _opened(where)
             await tried.connect(OTHERS_CONNECT_IN)
@@ -256,8 +255,12 @@
                 # Behind what is held, or what is held has moved on: taking it would go back, or leave a gap.
                 page = read_page(self._plain(head, body))
                 if since == self.since and self._last(page) >= since:
-                    former = self._open
-                    self._take(sources, where, asked, head, body)
+                    former, gap = self._open, self._gap
+                    try:
+                        self._take(sources, where, asked, head, body)
+                    except ChangeError:
+                        self._gap = gap  # the one that is followed was not asked twice by this
+                        raise
                     self._open, tried = tried, None
                     if former is not None:
                         former.made.close()
@@ -265,7 +268,6 @@
                 await asyncio.sleep(TRY_AGAIN)
             sources.failed(where, self.now())
         except Exception:  # it is tried again later, and says so only when it is followed
-            self._gap = gap  # the one that is followed was not asked twice by this
             if sources is self._sources:
                 sources.failed(where, self.now())
         finally:
