--- a/hallproxy/feed/current.py
+++ b/hallproxy/feed/current.py
@@ -2,18 +2,20 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 
 from hallproxy.feed import SECOND, FeedError
 
 NEVER = -(1 << 62)
+COMMENT = re.compile(r"\([^()]*\)")
 VIA_MOST = 16  # relays between the log and here
 
 
 def via_names(field: str) -> tuple[str, ...]:
     """The names of a ``Via`` field, the first to have passed it on first (RFC 9110, 7.6.3)."""
     found = []
-    for part in field.split(","):
+    for part in COMMENT.sub("", field).split(","):
         words = part.split()
         if len(words) >= 2:
             found.append(words[1])
@@ -46,7 +48,7 @@
             raise FeedError(f"news over more than {VIA_MOST} relays")
 
     def told(self, asked: int, age: int, via: tuple[str, ...]) -> None:
-        """An answer that leaves nothing out was put together at ``asked`` at the earliest, of news ``age`` ns old."""
+        """An answer without omissions was put together at ``asked`` or later, from news ``age`` ns old."""
         self.asked = max(self.asked, asked)
         self.heard = max(self.heard, asked - age)
         if via != self.above:
--- a/hallproxy/relay/config.py
+++ b/hallproxy/relay/config.py
@@ -47,7 +47,7 @@
         for key in top:
             if key not in KEYS:
                 raise ConfigError(f"unknown key {key!r}")
-        name, listen = _text(top, "name"), address(_text(top, "listen"))
+        name, listen = _text(top, "name"), _address("listen", _text(top, "listen"))
         if not NAME.fullmatch(name):
             raise ConfigError(f"name {name!r} is not 1 to 64 letters, digits, dots, hyphens and underscores")
         numbers = {key: _number(top, key) for key in NUMBERS}
@@ -87,10 +87,17 @@
     return value
 
 
+def _address(key: str, value: object) -> Address:
+    try:
+        return address(value)
+    except ConfigError as error:
+        raise ConfigError(f"{key}: {error}") from None
+
+
 def _upstream(value: object, listen: Address) -> tuple[Address, ...]:
     if not isinstance(value, list) or not value or not all(isinstance(v, str) for v in value):
         raise ConfigError('upstream needs a list of addresses, ["host:port", ...]')
-    found = tuple(address(v) for v in value)
+    found = tuple(_address("upstream", v) for v in value)
     if len(set(found)) < len(found):
         raise ConfigError("upstream names an address twice")
     own = {LOOPBACK, ANY} if _local(listen[0]) in (LOOPBACK, ANY) else {listen[0]}
--- a/hallproxy/relay/upstream.py
+++ b/hallproxy/relay/upstream.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import gc
 from collections.abc import Callable
+from typing import Any
+
+import orjson
 
 from hallproxy.feed import MS, FeedError
 from hallproxy.feed.confirmed import Confirmed
@@ -12,6 +16,7 @@
 from hallproxy.run.config import Address
 from hallproxy.wire.changelog import ChangeError, age
 
+LARGE = 1024 * 1024  # bytes of a page
 ANSWER_IN = 0.25  # s past the wait that was asked for after which a poll has failed
 
 
@@ -47,6 +52,23 @@
     def now(self) -> int:
         return self._clock()
 
+    def read(self, plain: bytes) -> dict[str, Any]:
+        large = len(plain) > LARGE
+        try:
+            if large:
+                # Hundreds of thousands of objects that are all in use: looked through again and again while
+                # they are made, they would take twice the time.
+                gc.disable()
+            page = orjson.loads(plain)
+        except ValueError:
+            raise ChangeError("the change log's answer is not JSON") from None
+        finally:
+            if large:
+                gc.enable()
+        if not isinstance(page, dict):
+            raise ChangeError("the change log's answer is no object")
+        return page
+
     def take(self, answer: Answer) -> None:
         log, now, life = self._log, self.now(), self._log.life
         fields = answer.head.fields
--- a/hallproxy/run/changelog.py
+++ b/hallproxy/run/changelog.py
@@ -129,6 +129,10 @@
     def take(self, answer: Answer) -> None:
         """Take the news and set ``since``; ChangeError where it can't be used."""
 
+    def read(self, plain: bytes) -> dict[str, Any]:
+        """The page that the body holds; ChangeError where it holds none."""
+        return read_page(plain)
+
     @property
     def asked_again(self) -> bool:
         """What comes now answers a second question from the same number: a gap in it stands."""
@@ -218,7 +222,7 @@
             raise ChangeError(f"answer {head.status}")
         plain = self._plain(head, body)
         try:
-            self.take(Answer(read_page(plain), head, asked, where, len(body)))
+            self.take(Answer(self.read(plain), head, asked, where, len(body)))
         except ChangeError:
             self._gap = self.since
             raise
@@ -253,7 +257,7 @@
                 if head.status != 200 or not head.keeps:
                     raise ChangeError(f"answer {head.status}")
                 # Behind what is held, or what is held has moved on: taking it would go back, or leave a gap.
-                page = read_page(self._plain(head, body))
+                page = self.read(self._plain(head, body))
                 if since == self.since and self._last(page) >= since:
                     former, gap = self._open, self._gap
                     try:
