--- /dev/null
+++ b/hallproxy/run/change_logs.py
@@ -0,0 +1,54 @@
+"""Several addresses for the change log, from the operators' own file. Only read where it is asked for."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+
+from hallproxy.feed.choice import Address, Choice
+from hallproxy.run.config import Config, ConfigError, address, read_toml
+
+ADDRESSES_MOST = 64
+SPREAD_MOST = 10_000  # ms
+
+
+@dataclass(slots=True, frozen=True)
+class ChangeLogs:
+    addresses: tuple[Address, ...]
+    spread_ms: int
+
+    @property
+    def others(self) -> bool:
+        return len(self.addresses) > 1
+
+    def choice(self, config: Config) -> Choice:
+        """This gateway's own order of them."""
+        name = config.name or "%s:%d" % config.listen
+        return Choice(name, self.addresses, self.spread_ms / 1000, Random(f"{config.seed:x} {name}"))
+
+
+def load(path: Path) -> ChangeLogs:
+    """Read and check the file whole; ConfigError, one plain line, where it can't be used."""
+    top = read_toml(path)
+    for key in top:
+        if key not in ("addresses", "spread_ms"):
+            raise ConfigError(f"{path}: unknown key {key!r}")
+    named = top.get("addresses")
+    if not isinstance(named, list) or not 1 <= len(named) <= ADDRESSES_MOST:
+        raise ConfigError(f"{path}: addresses is not a list of 1 to {ADDRESSES_MOST}")
+    addresses = []
+    for one in named:
+        try:
+            where = address(one if isinstance(one, str) else repr(one))
+        except ConfigError as error:
+            raise ConfigError(f"{path}: {error}") from None
+        if not where[1]:
+            raise ConfigError(f"{path}: {one!r} is no address")
+        if where in addresses:
+            raise ConfigError(f"{path}: {one!r} is there twice")
+        addresses.append(where)
+    spread = top.get("spread_ms", 500)
+    if type(spread) is not int or not 0 <= spread <= SPREAD_MOST:
+        raise ConfigError(f"{path}: spread_ms is not a number from 0 to {SPREAD_MOST}")
+    return ChangeLogs(tuple(addresses), spread)
--- a/hallproxy/run/changelog.py
+++ b/hallproxy/run/changelog.py
@@ -21,6 +21,7 @@
     read_events,
     read_page,
     unpack,
+    whole_from,
 )
 from hallproxy.wire.http1 import Head
 
@@ -286,14 +287,10 @@
 class Poller(Follower):
     """The gateway's: it brings what is new to the reducer."""
 
-    def __init__(self, loop: Loop, whom: Address | Sources, since: int) -> None:
+    def __init__(self, loop: Loop, whom: Address | Sources, since: int, others: bool = False) -> None:
         sources = One(whom) if isinstance(whom, tuple) else whom
-        super().__init__(sources, since, WAIT, ANSWER_IN, coded=not isinstance(sources, One))
+        super().__init__(sources, since, WAIT, ANSWER_IN, not isinstance(sources, One), others)
         self._loop = loop
-        self._set_others()
-
-    def _set_others(self) -> None:
-        self.others = len(getattr(self._sources, "addresses", ())) > 1
 
     def now(self) -> int:
         return self._loop.now()
@@ -310,7 +307,7 @@
             self._heard.set()
             say(f"change log: no answer in {CURRENT_IN:g} s, beginning with what the configuration knows")
 
-    def move(self, whom: Address | Sources, known: dict[str, Any]) -> None:
+    def move(self, whom: Address | Sources, known: dict[str, Any], others: bool = False) -> None:
         """Follow the log at its new address from now on: the numbers go on, and so does what is held.
 
         What the old address is still sending is dropped whole; the new one tells it from the last event held.
@@ -321,8 +318,8 @@
             say(f"change log: {error}")
         sources = One(whom) if isinstance(whom, tuple) else whom
         if sources != self._sources:
+            self.others = others
             self.follow(sources)
-            self._set_others()
 
     def take(self, answer: Answer) -> None:
         told = age(answer.head.fields.get("age", "0")) if self._coded else 0
@@ -331,9 +328,12 @@
         self._loop.bring(NewsHeard(answer.asked - told))
 
     def _bring(self, page: dict[str, Any], gaps: bool, live: bool = True) -> None:
-        """Bring the events that are new, each of them whole or not at all."""
+        """Bring the events that are new, each of them whole or not at all; of a whole page all or none."""
         state = self._loop.state
-        for seq, event in read_events(page, self.since, state.settings, self._loop.now(), gaps, live):
+        first = whole_from(page) if live else None
+        since = self.since if first is None else first
+        told = read_events(page, since, state.settings, self._loop.now(), gaps, live)
+        for seq, event in told if first is None else list(told):
             if event is not None:
                 self._loop.bring(event)
             self.since = seq
--- a/hallproxy/run/main.py
+++ b/hallproxy/run/main.py
@@ -20,9 +20,9 @@
 from hallproxy.interface import SettingsError
 from hallproxy.logic import Router, check
 from hallproxy.run import contracts, platform_teams
-from hallproxy.run.changelog import Poller
+from hallproxy.run.changelog import Poller, Sources
 from hallproxy.run.clients import Clients
-from hallproxy.run.config import Config, ConfigError, load
+from hallproxy.run.config import Address, Config, ConfigError, load
 from hallproxy.run.contracts import ContractError
 from hallproxy.run.listener import Listener
 from hallproxy.run.loop import Loop, say
@@ -70,14 +70,26 @@
     )
 
 
-async def serve(config: Config, teams: Path | None, signals: Signals) -> None:
+def _whom(config: Config, logs: Path | None) -> tuple[Address | Sources | None, bool]:
+    """Whom the change log is heard from, and whether there are several."""
+    if logs is None:
+        return config.changelog, False
+    # Imported here: the platform's gateway must not pay for what it does without.
+    from hallproxy.run import change_logs
+
+    told = change_logs.load(logs)
+    return told.choice(config), told.others
+
+
+async def serve(config: Config, teams: Path | None, signals: Signals, logs: Path | None = None) -> None:
+    whom, others = _whom(config, logs)
     loop = Loop(State(config.settings, Router(config.settings, config.seed), bounds(config)))
     speech = Platform(config.settings)
     loop.stores = HttpStores(loop, speech)
     since, told = config.first_events(loop.now())
     for event in told:
         loop.bring(event)
-    if config.changelog is not None:
+    if whom is not None:
         loop.bring(NewsHeard(loop.now()))
     clients = Clients(loop)
     names = [c.name for c in config.settings.classes]
@@ -85,8 +97,8 @@
         clients.teams = platform_teams.load(teams, names)
         loop.bring(ContractsTold(loop.now(), clients.teams.contracts))
     poller, tasks = None, []
-    if config.changelog is not None:
-        poller = Poller(loop, config.changelog, since)
+    if whom is not None:
+        poller = Poller(loop, whom, since, others)
         tasks.append(asyncio.ensure_future(poller.run()))
         await poller.current()
     host, port = config.listen
@@ -108,14 +120,15 @@
             raise ConfigError("other classes need a restart")
         if new.settings.zone != config.settings.zone or new.listen != config.listen:
             raise ConfigError("another zone or address to listen on needs a restart")
-        if (new.changelog is None) != (poller is None):
+        whom, others = _whom(new, logs)
+        if (whom is None) != (poller is None):
             raise ConfigError("a change log where there was none, or none any more, needs a restart")
         told = platform_teams.load(teams, names) if teams is not None else None
         check(new.settings)
         speech.settings = new.settings
         loop.bring(Reconfigured(loop.now(), new.settings, bounds(new)))
-        if poller is not None and new.changelog is not None:
-            poller.move(new.changelog, new.known)
+        if poller is not None and whom is not None:
+            poller.move(whom, new.known, others)
         if told is not None:
             clients.teams = told
             loop.bring(ContractsTold(loop.now(), told.contracts))
@@ -175,6 +188,9 @@
 def _arguments() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(prog="hallproxy", description="With no command: one gateway.")
     parser.add_argument("--teams", type=Path, help="tell teams apart, as this file says (off without it)")
+    parser.add_argument(
+        "--change-logs", type=Path, help="follow the change log through the relays that this file names"
+    )
     commands = parser.add_subparsers(dest="command")
     serving = commands.add_parser("repository", help="serve package repositories, as a deploy file says")
     serving.add_argument("file", type=Path, nargs="?", default=Path("deploy/repository.toml"))
@@ -233,7 +249,8 @@
                 settled = repository_config.load(args.file)
                 asyncio.run(_until_stopped(partial(repository.serve, args.file, settled)))
             case _:
-                asyncio.run(_until_stopped(partial(serve, load(os.environ), args.teams)))
+                serving = partial(serve, load(os.environ), args.teams, logs=args.change_logs)
+                asyncio.run(_until_stopped(serving))
     except (ConfigError, ContractError, SettingsError, ChangeError) as error:
         print(f"hallproxy: {error}", file=sys.stderr)
         return 1
--- a/hallproxy/wire/changelog.py
+++ b/hallproxy/wire/changelog.py
@@ -14,6 +14,7 @@
 MS = 1_000_000
 SECOND = 1_000_000_000
 WAIT_MOST = 5_000  # ms
+GROUPS = 256  # of objects, that are purged as one
 
 
 class ChangeError(ValueError):
@@ -63,6 +64,37 @@
     return page
 
 
+def _numbered(page: dict[str, Any]) -> list[tuple[int, dict[str, Any]]]:
+    """The page's entries by their numbers."""
+    return sorted(((int(entry["seq"]), entry) for entry in page["results"]), key=lambda one: one[0])
+
+
+def whole_from(page: dict[str, Any]) -> int | None:
+    """The number that a *whole page* begins behind; None for any other page.
+
+    It replaces all that was told before: its first event is a whole list (``reset``), the next ones purge
+    each of the groups, and its numbers leave no gap. So its reader goes on from it whatever number he held.
+    """
+    try:
+        if len(page["results"]) <= GROUPS:  # nearly all pages: not worth a second look
+            return None
+        results = _numbered(page)
+        if not results[0][1]["fleet"]["reset"]:
+            return None
+        first = results[0][0]
+        if any(seq != first + place for place, (seq, _) in enumerate(results)):
+            return None
+        purged = set()
+        for _, entry in results[1 : GROUPS + 1]:
+            gone = entry["invalidate"]
+            if entry.get("fleet") is not None or (gone.get("object") and int(gone["object"], 16)):
+                return None
+            purged.add(int(gone["bucket"]))
+        return first - 1 if purged == set(range(GROUPS)) else None
+    except (KeyError, TypeError, ValueError, AttributeError):
+        return None
+
+
 def read_events(
     page: dict[str, Any],
     since: int,
@@ -78,9 +110,7 @@
     old.
     """
     try:
-        results = sorted(page["results"], key=lambda entry: int(entry["seq"]))
-        for entry in results:
-            seq = int(entry["seq"])
+        for seq, entry in _numbered(page):
             if seq <= since:
                 continue
             if seq != since + 1 and not gaps:
