--- a/hallproxy/relay/serve.py
+++ b/hallproxy/relay/serve.py
@@ -7,10 +7,12 @@
 import socket
 import time
 from pathlib import Path
+from random import Random
 
 from tornado.netutil import bind_sockets
 
 from hallproxy.feed import SECOND
+from hallproxy.feed.choice import Choice
 from hallproxy.feed.confirmed import Confirmed
 from hallproxy.feed.current import Current
 from hallproxy.feed.log import Log
@@ -18,8 +20,8 @@
 from hallproxy.relay.front import Front
 from hallproxy.relay.status import Status, status
 from hallproxy.relay.upstream import Upstream
-from hallproxy.run.changelog import Sources
-from hallproxy.run.config import Address, ConfigError
+from hallproxy.run.changelog import One, Sources
+from hallproxy.run.config import ConfigError
 from hallproxy.run.listener import Listener
 from hallproxy.run.loop import say
 from hallproxy.run.signals import Signals
@@ -28,29 +30,10 @@
 STOP_IN = 3.0  # s after SIGTERM by which what is open is cut
 
 
-class InOrder:
-    """Stands in until the choice by hashing is there."""
-
-    def __init__(self, addresses: tuple[Address, ...]) -> None:
-        self.addresses = addresses
-        self._at = 0
-
-    def pick(self, now: int) -> Address:
-        return self.addresses[self._at % len(self.addresses)]
-
-    def failed(self, where: Address, now: int) -> float:
-        self._at += 1
-        return 0.05
-
-    def good(self, where: Address, now: int) -> None:
-        pass
-
-    def better(self, now: int) -> Address | None:
-        return None
-
-
 def _sources(config: RelayConfig) -> Sources:
-    return InOrder(config.upstream)
+    if len(config.upstream) == 1:
+        return One(config.upstream[0])
+    return Choice(config.name, config.upstream, config.spread / 1000, Random())
 
 
 class Cutter:
@@ -120,7 +103,7 @@
         upstream.wait = new.wait
         if new.upstream != followed:
             followed = new.upstream
-            upstream.follow(_sources(new))
+            upstream.turn_to(_sources(new))
         cutter.look()
 
     tasks.append(asyncio.ensure_future(signals.reloads(reload)))
--- a/hallproxy/relay/upstream.py
+++ b/hallproxy/relay/upstream.py
@@ -12,7 +12,7 @@
 from hallproxy.feed.confirmed import Confirmed
 from hallproxy.feed.current import Current, via_names
 from hallproxy.feed.log import Log
-from hallproxy.run.changelog import Answer, Follower, Sources
+from hallproxy.run.changelog import Answer, Follower, One, Sources
 from hallproxy.run.config import Address
 from hallproxy.wire.changelog import ChangeError, age
 
@@ -33,7 +33,7 @@
         now: Callable[[], int],
         changed: Callable[[], None],
     ) -> None:
-        others = len(getattr(sources, "addresses", ())) > 1
+        others = not isinstance(sources, One)
         super().__init__(sources, log.asks, wait, ANSWER_IN, coded=True, others=others)
         self._log, self._current, self._confirmed = log, current, confirmed
         self._clock, self._changed = now, changed
@@ -49,6 +49,10 @@
     def wait(self, wait: int) -> None:
         self._wait = wait
 
+    def turn_to(self, sources: Sources) -> None:
+        self.others = not isinstance(sources, One)
+        self.follow(sources)
+
     def now(self) -> int:
         return self._clock()
 
