A log that counts anew is asked again on the same connection; an asker without a list waits

A jump back is no failure of the address, so it isn't left for it. Where no list has been told there is no whole page: who asks with a number that says nothing here gets an empty page at its timeout, not 503.

--- a/hallproxy/feed/log.py
+++ b/hallproxy/feed/log.py
@@ -18,7 +18,8 @@
     WHOLE = auto()  # the list and all groups' purges, whatever its number
     WAIT = auto()  # nothing is new
     ABOVE = auto()  # a whole page, unless the numbers come as far as its own meanwhile
-    NOTHING = auto()  # nothing can be told: its number is of no use, and no list has been told here
+    UNSURE = auto()  # nothing yet: its number says nothing here, and a whole page needs a list
+    NOTHING = auto()  # it lacks what is not held any more, and a whole page needs a list
 
 
 @dataclass(slots=True, frozen=True)
@@ -71,23 +72,23 @@
         return self.told.last <= self.former
 
     def take(self, answer: dict[str, Any], now: int) -> int:
-        """Apply a page from above whole or not at all (FeedError). How many events it brought.
+        """Apply a page from above whole or not at all (FeedError). How many events it brought one by one.
 
-        A page that can't be used may yet change what is asked next: ``asks``.
+        ``asks`` says from where to ask next: from 0 where the log counts anew, or a gap in it stands.
         """
         try:
             results: list[Entry] = answer["results"]
-            seq = int(answer["seq"]) if "seq" in answer else -1
-            if not isinstance(results, list):
-                raise FeedError("a page without a list of events")
+            seq = int(answer["seq"]) if "seq" in answer else None
+            if not isinstance(results, list) or (seq is not None and seq < 0):
+                raise FeedError("a page without a list of events, or with a number that is none")
         except (KeyError, TypeError, ValueError) as error:
             raise FeedError(f"a page that can't be read: {type(error).__name__} {error}") from None
         if is_whole(results):
-            return self._whole(results, seq, now)
+            return self._whole(results, seq)
         into = self._anew or self.told
-        if 0 <= seq < into.last:
-            self._anew, self._jumped, self._gap = self._empty(), True, -1
-            raise FeedError(f"the log counts anew: it is at {seq}, and {into.last} was held")
+        if seq is not None and seq < into.last:
+            self._anew, self._jumped, self._gap, self.caught_up = self._empty(), True, -1, False
+            return 0
         before = into.last
         try:
             listed = into.take(results, gaps=self._gap == 0 == before)
@@ -95,7 +96,7 @@
             self._found_gap(before)
             raise
         self._gap = -1
-        self.caught_up = into.last >= seq
+        self.caught_up = seq is None or into.last >= seq
         if self._anew is not None:
             if self.caught_up:
                 self._change(self._anew)
@@ -113,16 +114,16 @@
         else:
             self._anew, self._gap = self._empty(), -1
 
-    def _whole(self, results: list[Entry], seq: int, now: int) -> int:
+    def _whole(self, results: list[Entry], seq: int | None) -> int:
         told = self._empty()
         told.last = int(results[0]["seq"]) - 1
         told.take(results[: GROUPS + 1])
         told.events = []  # they are no list of all that happened: nobody may go on from within them
         told.take(results[GROUPS + 1 :])
         self._gap = -1
-        self.caught_up = told.last >= seq
+        self.caught_up = seq is None or told.last >= seq
         self._change(told)
-        return len(results)
+        return len(results) - GROUPS - 1
 
     def _change(self, told: Told) -> None:
         """Hold what was told anew in place of all that was held."""
@@ -150,10 +151,10 @@
         """
         told = self.told
         if life != self.life and (life >= 0 or told.last <= self.former):
-            return Get.WHOLE if told.listed else Get.NOTHING
+            return Get.WHOLE if told.listed else Get.UNSURE
         if since > told.last:
             if not told.listed:
-                return Get.WAIT  # nothing here could be told in place of what it holds
+                return Get.UNSURE
             return Get.WHOLE if at_once else Get.ABOVE
         if since < told.first - 1:
             return Get.WHOLE if told.listed else Get.NOTHING
@@ -176,8 +177,10 @@
             ("whole", end, told.purged, zipped), lambda: page(told.whole(end), end, zipped, GROUPS + 1)
         )
 
-    def empty(self, since: int) -> Page:
-        """Nothing new. A number of what has not been cut yet is no reason to think that the log went back."""
-        last = self.told.last
-        last = last if since > last else max(self.cut, since)
+    def empty(self, since: int, sure: bool = True) -> Page:
+        """Nothing new for one that is at ``since``, or (not ``sure``) whose number says nothing here.
+
+        A number of what has not been cut yet must not look as if the log had gone back.
+        """
+        last = max(self.cut, since) if sure else self.told.last
         return self.pages.get(("empty", last), lambda: page(b"", last, False, 0))
--- a/hallproxy/relay/front.py
+++ b/hallproxy/relay/front.py
@@ -11,6 +11,7 @@
 import json
 import re
 import socket
+import traceback
 from collections.abc import Callable
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
@@ -22,6 +23,7 @@
 from hallproxy.feed.current import Current
 from hallproxy.feed.log import Get, Log
 from hallproxy.feed.pages import STATUSES, Page
+from hallproxy.run.loop import say
 from hallproxy.run.sockets import Stream, stream
 from hallproxy.wire.http1 import Head, HttpError, request_head
 
@@ -49,6 +51,8 @@
 
 COUNTED = ("polls", "plain", "whole", "empty", "behind", "bad", "turned_away", "bytes")
 
+HOLDS = (Get.WAIT, Get.ABOVE, Get.UNSURE)
+
 # What a connection is doing.
 RESTS, HELD, SENDS, ENDS, CLOSED = range(5)
 
@@ -142,7 +146,7 @@
 
     def _end(self, c: Connection) -> None:
         """End it behind all that was written: closing over unread bytes would take that away again."""
-        if c.stream.closed() or len(self._ending) >= LINGERING_MOST:
+        if c.stream.closed() or (len(self._ending) >= LINGERING_MOST and not self.stopping):
             return self._close(c)
         c.state, c.turn = ENDS, c.turn + 1
         self._left(c)
@@ -168,7 +172,7 @@
         for n in ticks:
             for c, turn in self._due.pop(n, ()):
                 if c.turn == turn:
-                    self._fell_due(c, now)
+                    self._safely(self._fell_due, c, now)
         behind = self.current.behind(now)
         if behind and not self._was_behind and self.held:
             self.answer_held()
@@ -297,7 +301,10 @@
 
     def _asked(self, c: Connection, head: Head) -> None:
         closes = not head.keeps
-        url = urlsplit(head.target)
+        try:
+            url = urlsplit(head.target)
+        except ValueError:
+            return self._bad(c, 400, True)
         if url.path == "/status":
             if head.method != "GET":
                 return self._bad(c, 405, closes)
@@ -345,7 +352,7 @@
             self.confirmed.move(c.number, held, now)
             c.number = held
         behind = now - self.current.asked > self.current.most
-        if behind or c.at_once or (found is not Get.WAIT and found is not Get.ABOVE):
+        if behind or c.at_once or found not in HOLDS:
             return self._answer(c, now)
         if found is Get.ABOVE:
             c.life = log.life
@@ -373,11 +380,12 @@
             self.counts["behind"] += 1
             return self._say(c, 503, c.closes or self.stopping, b"Retry-After: 1\r\n")
         elif waited or at_once:
-            page = log.empty(c.since)
+            page = log.empty(c.since, found is Get.WAIT)
             self.counts["empty"] += 1
         else:
             return
-        c.life = log.life
+        if found is not Get.UNSURE:
+            c.life = log.life
         closes = c.closes or self.stopping
         self._write(c, (page.head(self.current.age(now), self.current.via, closes), page.body), closes)
 
@@ -441,12 +449,21 @@
         for _ in range(min(AT_ONCE, len(turn))):
             c = turn.pop()
             if c.state == HELD:
-                self._answer(c, now)
+                self._safely(self._answer, c, now)
         if turn:
             self._loop.call_soon(self._some)
         else:
             self._turning = False
 
+    def _safely(self, do: Callable[[Connection, int], None], c: Connection, now: int) -> None:
+        """One connection that fails must not keep the others from their turn."""
+        try:
+            do(c, now)
+        except Exception as error:
+            where = traceback.extract_tb(error.__traceback__)[-1]
+            say(f"fault at {c.peer}: {type(error).__name__}: {error} ({where.name}, line {where.lineno})")
+            self._close(c)
+
     # The end
 
     def stop(self) -> None:
--- a/hallproxy/relay/upstream.py
+++ b/hallproxy/relay/upstream.py
@@ -14,6 +14,7 @@
 from hallproxy.feed.log import Log
 from hallproxy.run.changelog import Answer, Follower, One, Sources
 from hallproxy.run.config import Address
+from hallproxy.run.loop import say
 from hallproxy.wire.changelog import ChangeError, age
 
 LARGE = 1024 * 1024  # bytes of a page
@@ -74,7 +75,8 @@
         return page
 
     def take(self, answer: Answer) -> None:
-        log, now, life = self._log, self.now(), self._log.life
+        log, now = self._log, self.now()
+        life, before, asks = log.life, log.told.last, log.asks
         fields = answer.head.fields
         via, told = via_names(fields.get("via", "")), age(fields.get("age", "0"))
         try:
@@ -84,16 +86,19 @@
             raise ChangeError(str(error)) from None
         finally:
             self.since = log.asks  # a page that can't be used may yet say where to begin anew
+        if log.asks < asks and not log.caught_up:
+            say(f"change log: it counts anew, {asks} was held")
         if log.life != life:
             self._confirmed.restart()
-        self._confirmed.arrived(log.told.last, came, now)
+        elif came and log.told.last > before:
+            self._confirmed.arrived(log.told.last, came, now)
         self.where = answer.where
         self.events += came
         self.bytes += answer.size
         if log.caught_up:
             asked = answer.asked
             # Held to its end with nothing to tell, and left open: it was put together no sooner than that.
-            if not came and answer.head.keeps and now - asked >= self._wait * MS:
+            if not answer.page["results"] and answer.head.keeps and now - asked >= self._wait * MS:
                 asked += self._wait * MS
             self._current.told(asked, told, via)
         self._changed()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -384,6 +384,7 @@
         b"GET /changes?since=" + b"9" * 30 + b" HTTP/1.1\r\nHost: x\r\n\r\n",
         b"GET /changes?since=1&timeout=0 HTTP/1.1\r\nContent-Length: 5\r\n\r\nabcde",
         b"GET /changes?since=1&timeout=0 HTTP/1.1\r\nTransfer-Encoding: odd\r\n\r\n",
+        b"GET //[/changes HTTP/1.1\r\nHost: x\r\n\r\n",
         b"nonsense\r\n\r\n",
         b"\x16\x03\x01" + bytes(5000),
         b"GET /" + b"x" * 5000,
