--- a/hallproxy/feed/log.py
+++ b/hallproxy/feed/log.py
@@ -7,9 +7,12 @@
 from typing import Any
 
 from hallproxy.feed import GROUPS, MS, FeedError, GapError
-from hallproxy.feed.pages import Page, Pages, page
+from hallproxy.feed.pages import MB, Page, Pages, page
 from hallproxy.feed.told import Entry, Told, is_whole
 
+PAGE_BYTES = 8 * MB  # of a plain page; followers refuse one of over 16 MB
+AHEAD_MOST = 4_096  # a number so far above the last one may have been told by a relay that is a little ahead
+
 
 class Get(Enum):
     """What an asker gets."""
@@ -118,7 +121,7 @@
         told = self._empty()
         told.last = int(results[0]["seq"]) - 1
         told.take(results[: GROUPS + 1])
-        told.events = []  # they are no list of all that happened: nobody may go on from within them
+        told.forget()  # they are no list of all that happened
         told.take(results[GROUPS + 1 :])
         self._gap = -1
         self.caught_up = seq is None or told.last >= seq
@@ -130,6 +133,8 @@
         if self._jumped or told.last < self.told.last:
             self.life += 1
             self.former = max(self.former, self.told.last)
+        # Also of a former life: a follower may lack the last purges of that.
+        told.purged = max(told.purged, self.told.purged)
         self.told, self._anew, self._jumped = told, None, False
         self.pages.clear()
         self.cut_now()
@@ -147,7 +152,8 @@
     def get(self, since: int, life: int, at_once: bool) -> Get:
         """What an asker from ``since`` gets. ``life``: the one in which it was last answered; -1: in none.
 
-        ``at_once``: it does not wait, and gets also what has not been cut yet.
+        ``at_once``: it does not wait, and gets also what has not been cut yet. At ABOVE it is to wait all the
+        same: a whole page takes all copies from a gateway.
         """
         told = self.told
         if life != self.life and (life >= 0 or told.last <= self.former):
@@ -155,20 +161,23 @@
         if since > told.last:
             if not told.listed:
                 return Get.UNSURE
-            return Get.WHOLE if at_once else Get.ABOVE
+            return Get.ABOVE if since - told.last <= AHEAD_MOST else Get.WHOLE
         if since < told.first - 1:
             return Get.WHOLE if told.listed else Get.NOTHING
         return Get.PLAIN if since < (told.last if at_once else self.cut) else Get.WAIT
 
     def plain(self, since: int, zipped: bool, at_once: bool) -> Page:
-        """What follows ``since``, as far as one page goes."""
+        """What follows ``since``, as far as one page goes: ``Bounds.page`` events, and ``PAGE_BYTES`` unless
+        one event alone is longer."""
         told = self.told
         last = told.last if at_once else self.cut
         end = min(last, since + self.bounds.page)
-        return self.pages.get(
-            (since, end, end < last, zipped),
-            lambda: page(told.plain(since, end), last, zipped, end - since),
-        )
+
+        def build() -> Page:
+            events = told.after(since, end, PAGE_BYTES)
+            return page(b",".join(events), last, zipped, len(events))
+
+        return self.pages.get((since, end, end < last, zipped), build)
 
     def whole(self, zipped: bool, at_once: bool) -> Page:
         told = self.told
--- a/hallproxy/relay/front.py
+++ b/hallproxy/relay/front.py
@@ -352,11 +352,11 @@
             self.confirmed.move(c.number, held, now)
             c.number = held
         behind = now - self.current.asked > self.current.most
-        if behind or c.at_once or found not in HOLDS:
-            return self._answer(c, now)
-        if found is Get.ABOVE:
+        if found is Get.ABOVE and not self.stopping and not behind:
             c.life = log.life
-            wait = min(wait, ABOVE_FOR // MS)
+            wait = min(wait or WAIT_MOST, ABOVE_FOR // MS)
+        elif behind or c.at_once or found not in HOLDS:
+            return self._answer(c, now)
         c.state = HELD
         self.held[c] = None
         self._at(c, now + min(wait, WAIT_MOST) * MS)
@@ -379,8 +379,8 @@
         elif found is Get.NOTHING:
             self.counts["behind"] += 1
             return self._say(c, 503, c.closes or self.stopping, b"Retry-After: 1\r\n")
-        elif waited or at_once:
-            page = log.empty(c.since, found is Get.WAIT)
+        elif waited or self.stopping or (at_once and found is not Get.ABOVE):
+            page = log.empty(c.since, found is not Get.UNSURE)
             self.counts["empty"] += 1
         else:
             return
--- a/hallproxy/relay/serve.py
+++ b/hallproxy/relay/serve.py
@@ -120,4 +120,4 @@
     front.close()
     for task in tasks:
         task.cancel()
-    say("stopped: all is answered")
+    say("stopped")
--- a/hallproxy/relay/status.py
+++ b/hallproxy/relay/status.py
@@ -70,16 +70,30 @@
         body = answer.read(PAGE_MOST)
         if answer.status != 200:
             return {"error": f"answer {answer.status}"}
-        found = json.loads(body)
-        return found if isinstance(found, dict) else {"error": "no object"}
+        found: Status = json.loads(body)
+        return found if _is_status(found) else {"error": "no relay's status"}
     except (OSError, http.client.HTTPException) as error:
         return {"error": getattr(error, "strerror", None) or str(error) or type(error).__name__}
-    except ValueError:
+    except (ValueError, RecursionError):
         return {"error": "no JSON"}
     finally:
         asking.close()
 
 
+def _is_status(found: object) -> bool:
+    """Whether what is shown of it is there, in its form: what answers need be no relay."""
+    if not isinstance(found, dict) or not isinstance(found.get("name"), str):
+        return False
+    slowest, delays = found.get("slowest"), found.get("confirmed_ms")
+    return (
+        isinstance(found.get("follows"), str | None)
+        and (slowest is None or (isinstance(slowest, dict) and isinstance(slowest.get("peer"), str)))
+        and isinstance(delays, dict)
+        and all(isinstance(value, int | float) for value in delays.values())
+        and (not delays.get("count") or {"p50", "p99", "max"} <= set(delays))
+    )
+
+
 def fetch_all(addresses: Sequence[str]) -> dict[str, Status]:
     if len(set(addresses)) < len(addresses):
         raise ConfigError("an address is named twice")
