--- a/hallproxy/feed/choice.py
+++ b/hallproxy/feed/choice.py
@@ -52,16 +52,21 @@
     _failed: dict[Address, _Failed] = field(init=False, compare=False, default_factory=dict)
     _asked: Address | None = field(init=False, compare=False, default=None)  # who is followed
     _row: int = field(init=False, compare=False, default=0)  # failures since the last good answer
+    _vain: set[Address] = field(init=False, compare=False, default_factory=set)  # that failed in this round
     _back: int = field(init=False, compare=False, default=0)  # when a better one may be tried
 
     def __post_init__(self) -> None:
         self._order = order(self.name, self.addresses)
 
     def pick(self, now: int) -> Address:
-        """The first in the order that does not rest; if all do, the one whose rest ends first."""
-        for where in self._order:
-            if not self._rests(where, now):
-                break
+        """The first in the order that does not rest; if all do, the one whose rest ends first.
+
+        Those that have failed since the last good answer come behind the others: a rest may be over before
+        a second silent address has been found out, and a third would never be asked.
+        """
+        awake = [where for where in self._order if not self._rests(where, now)]
+        if awake:
+            where = next((where for where in awake if where not in self._vain), awake[0])
         else:
             where = min(self._order, key=lambda one: self._failed[one].until)
         self._follow(where, now)
@@ -79,6 +84,9 @@
         if where != self._asked:
             return 0.0  # a better one that was only tried
         self._row += 1
+        self._vain.add(where)
+        if len(self._vain) == len(self._order):
+            self._vain.clear()  # the next round
         if self._row >= max(2, len(self._order)):
             least = max(self.spread, ALL_DOWN)
             return self.random.uniform(least, 3 * least)
@@ -87,6 +95,7 @@
     def good(self, where: Address, now: int) -> None:
         """It has answered. What it failed before is forgotten once its answers have lasted."""
         self._row = 0
+        self._vain.clear()
         self._follow(where, now)
         held = self._failed.get(where)
         if held is not None:
