--- a/hallproxy/run/changelog.py
+++ b/hallproxy/run/changelog.py
@@ -239,23 +239,21 @@
             self._trial = asyncio.get_running_loop().create_task(self._try(sources, better))
 
     async def _try(self, sources: Sources, where: Address) -> None:
-        """Ask on a second connection; it takes the first one's place with its first answer that goes on
-        from what is held then. All others of its answers are dropped."""
+        """Ask on a second connection; it takes the first one's place with its first answer that leads up to
+        what is held then, or on from there. Its answers until then are dropped."""
         tried: _Open | None = None
         try:
             tried = _opened(where)
             await tried.connect(OTHERS_CONNECT_IN)
             tried.fresh = False
             for _ in range(TRIES):
-                since = self.since
                 asked, head, body = await self._ask(tried, 0)
                 if sources is not self._sources:
                     return
                 if head.status != 200 or not head.keeps:
                     raise ChangeError(f"answer {head.status}")
-                # Behind what is held, or what is held has moved on: taking it would go back, or leave a gap.
-                page = read_page(self._plain(head, body))
-                if since == self.since and self._last(page) >= since:
+                # One that ends behind what is held by now would tell a whole page, and go back with it.
+                if self._last(read_page(self._plain(head, body))) >= self.since:
                     former, gap = self._open, self._gap
                     try:
                         self._take(sources, where, asked, head, body)
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -230,6 +230,10 @@
     assert whom.pick(2 * SECOND) == c
     whom.failed(c, 2 * SECOND)
     assert whom.pick(3 * SECOND) == a  # a round is over, the next one begins
+    whom.failed(a, 3 * SECOND)
+    assert whom.pick(int(3.1 * SECOND)) == b
+    whom.failed(b, int(4.1 * SECOND))  # a's rest has ended at 4
+    assert whom.pick(int(4.2 * SECOND)) == c
 
 
 def test_the_first_pause_is_spread_the_next_ones_short_and_long_once_all_have_failed() -> None:
@@ -264,12 +268,16 @@
         back.append(at / 1000)
         assert whom.better(at * 10**6) is None  # not again at once
     assert 5 <= min(back) < 5.5 and 14.5 < max(back) <= 15.01
-    whom = some()
-    first = whom.pick(0)
-    for _ in range(9):
-        whom.failed(first, 14 * SECOND)
-    whom.good(whom.pick(14 * SECOND), 14 * SECOND)
-    assert whom.better(int(21.9 * SECOND)) is None
+    tried = []
+    for seed in range(50):
+        whom = some(seed=seed)
+        first = whom.pick(0)
+        for _ in range(9):
+            whom.failed(first, 14 * SECOND)  # it rests until 22
+        whom.good(whom.pick(14 * SECOND), 14 * SECOND)
+        assert whom.better(int(21.9 * SECOND)) is None
+        tried.append(whom.better(22 * SECOND) == first)
+    assert any(tried) and not all(tried)
 
 
 def test_a_better_one_that_was_tried_in_vain_costs_the_one_followed_nothing() -> None:
@@ -422,7 +430,9 @@
 
 
 @pytest.mark.parametrize("trial", ["good", "silent", "not current"])
-def test_a_follower_comes_back_and_no_poll_waits_for_it(trial: str, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_follower_comes_back_and_no_poll_waits_for_it(
+    trial: str, monkeypatch: pytest.MonkeyPatch, lines: list[str]
+) -> None:
     """The better one is tried on a second connection; one that is silent there delays nothing."""
     monkeypatch.setattr(feed_choice, "BACK", (0.2, 0.3))
     those = relays(2)
@@ -452,6 +462,7 @@
                 assert max(at[n] - when for n, when in added.items()) < changelog.OTHERS_CONNECT_IN
 
     asyncio.run(play())
+    assert len(lines) == 1 and "not current" in lines[0]  # of the start: coming back is no trouble
 
 
 def test_a_better_address_that_is_behind_is_not_gone_back_to(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -480,6 +491,59 @@
     asyncio.run(play())
 
 
+def test_a_page_that_is_read_as_another_takes_its_place_is_dropped() -> None:
+    """The bytes have been read and the poll has not gone on yet: its turn comes behind the change-over."""
+    those = ordered([Relay(ChangeLog()), Relay(ChangeLog())])
+    former, better = those
+
+    async def play() -> None:
+        running = asyncio.get_running_loop()
+        follows = Follows([r.address for r in those])
+        async with follows.running():
+            await soon(lambda: len(former.asked) >= 2)
+            open_ = follows.poller._open
+            assert open_ is not None and open_.where == former.address
+            new = changelog._opened(better.address)
+            await new.connect(1.0)
+            new.fresh = False
+
+            def change_over() -> None:
+                follows.poller._open = new
+                open_.made.close()
+
+            running.call_later(0.01, change_over)
+            due = time.monotonic() + 0.02
+            former.fields = {"Connection": "close"}
+            former.log.add(invalidate=purge(1))
+            until(lambda: open_.made.stale() and time.monotonic() > due)  # no turn until both are there
+            await soon(lambda: better.asked)
+            assert not follows.purged and better.asked[0][0] == 0
+            better.log.add(invalidate=purge(2))
+            await soon(lambda: follows.purged == [2])
+            assert len(better.http.listener.connections) == 1
+
+    asyncio.run(play())
+
+
+def test_what_is_open_is_closed_as_the_addresses_move() -> None:
+    """A poll that is held on it, or silent, delays nothing: new ones are asked at once."""
+    log = ChangeLog()
+    old, new = Relay(log, "silent"), Relay(log)
+
+    async def play() -> None:
+        follows = Follows([old.address], since=0)
+        follows.poller._heard.set()
+        async with follows.running():
+            await soon(lambda: old.asked)
+            assert old.asked == [(0, 1_000)]
+            began = time.monotonic()
+            follows.poller.move(Choice("n1", (new.address,), 0.5, Random(1)), {"results": []})
+            await soon(lambda: new.asked)
+            assert time.monotonic() - began < 0.7  # the poll has 1.25 s
+
+    asyncio.run(play())
+
+
 # What is said ---------------------------------------------------------------------------------------------
 
 
