What one relay garbles is no first question about a gap

Seen while reading: an unreadable answer of one relay counted as the gap rule's first asking, so a gap in the next one's page was passed over unasked. Where several may be followed only a gap counts; with the configuration's address it stays as it was. Follower.read is a hook, as the relay has it.

--- a/hallproxy/run/changelog.py
+++ b/hallproxy/run/changelog.py
@@ -130,6 +130,10 @@
     def take(self, answer: Answer) -> None:
         """Take the news and set ``since``; ChangeError where it can't be used."""
 
+    def read(self, plain: bytes) -> dict[str, Any]:
+        """The page that the body holds; ChangeError where it holds none."""
+        return read_page(plain)
+
     @property
     def asked_again(self) -> bool:
         """What comes now answers a second question from the same number: a gap in it stands."""
@@ -219,9 +223,11 @@
             raise ChangeError(f"answer {head.status}")
         plain = self._plain(head, body)
         try:
-            self.take(Answer(read_page(plain), head, asked, where, len(body)))
-        except ChangeError:
-            self._gap = self.since
+            self.take(Answer(self.read(plain), head, asked, where, len(body)))
+        except ChangeError as error:
+            # What one relay garbles says nothing of gaps: a later one's must be asked about all the same.
+            if error.gap or not self._coded:
+                self._gap = self.since
             raise
         sources.good(where, self.now())
         self._heard.set()
@@ -253,7 +259,7 @@
                 if head.status != 200 or not head.keeps:
                     raise ChangeError(f"answer {head.status}")
                 # One that ends behind what is held by now would tell a whole page, and go back with it.
-                if self._last(read_page(self._plain(head, body))) >= self.since:
+                if self._last(self.read(self._plain(head, body))) >= self.since:
                     former, gap = self._open, self._gap
                     try:
                         self._take(sources, where, asked, head, body)
--- a/hallproxy/wire/changelog.py
+++ b/hallproxy/wire/changelog.py
@@ -18,7 +18,9 @@
 
 
 class ChangeError(ValueError):
-    """News that can't be read; the text says what."""
+    """News that can't be read; the text says what. ``gap``: it can, but numbers are missing in it."""
+
+    gap = False
 
 
 def poll_head(since: int, wait_ms: int, host: str, coded: bool = False) -> bytes:
@@ -114,13 +116,15 @@
             if seq <= since:
                 continue
             if seq != since + 1 and not gaps:
-                raise ChangeError(f"the change log leaves a gap between {since} and {seq}")
+                error = ChangeError(f"the change log leaves a gap between {since} and {seq}")
+                error.gap = True
+                raise error
             since = seq
             yield seq, _event(entry, settings, now, live)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        if isinstance(error, ChangeError):
+    except (KeyError, TypeError, ValueError, AttributeError) as failed:
+        if isinstance(failed, ChangeError):
             raise
-        raise ChangeError(f"news that can't be read: {type(error).__name__} {error}") from None
+        raise ChangeError(f"news that can't be read: {type(failed).__name__} {failed}") from None
 
 
 def _event(
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -630,6 +630,42 @@
     assert age("0") == 0 and age("17") == 17 * SECOND
 
 
+def test_a_gap_is_asked_about_twice_and_garbled_news_is_no_first_time(lines: list[str]) -> None:
+    """The first relay's page can't be read, the second one's leaves a gap: that may still be filled."""
+    log = ChangeLog()
+    log.add(invalidate=purge(1))
+    log.add(invalidate=purge(2))
+    those = relays(2, log)
+    gapped = json.dumps({"seq": 2, "results": log.events[1:]}).encode()
+    those[0].page = lambda since: b"{" if len(those[0].asked) == 1 else json.dumps(log.page(since)).encode()
+    those[1].page = lambda since: gapped
+
+    async def play() -> None:
+        follows = Follows([r.address for r in those], spread=0.0)
+        async with follows.running():
+            await soon(lambda: follows.purged)
+            assert follows.purged == [1, 2] and len(those[1].asked) == 1
+
+    asyncio.run(play())
+    assert any("gap" in x for x in lines)
+
+
+def test_a_gap_that_stands_is_passed_over(lines: list[str]) -> None:
+    those = relays(2)
+    gapped = json.dumps({"seq": 2, "results": [{"seq": 2, "invalidate": purge(2)}]}).encode()
+    for relay in those:
+        relay.page = lambda since: gapped if since < 2 else b'{"seq": 2, "results": []}'
+
+    async def play() -> None:
+        follows = Follows([r.address for r in those])
+        async with follows.running():
+            await soon(lambda: follows.purged)
+            assert follows.purged == [2] and sum(since < 2 for r in those for since, _ in r.asked) == 2
+
+    asyncio.run(play())
+    assert sum("gap" in x for x in lines) == 1
+
+
 # Whole pages ----------------------------------------------------------------------------------------------
 
 
