--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -680,13 +680,15 @@
 ALL_GROUPS = [-1 - n for n in range(GROUPS)]
 
 
-@pytest.mark.parametrize("held", [5, 600, 900, 5_000])
-def test_a_whole_page_is_taken_whatever_number_was_held(held: int) -> None:
-    """From far below it, from inside it, from its last number and from above it."""
+@pytest.mark.parametrize(
+    ("last", "held"), [(900, 5), (900, 700), (900, 900), (900, 5_000), (1, 0), (1, 1), (1, 5_000)]
+)
+def test_a_whole_page_is_taken_whatever_number_was_held(last: int, held: int) -> None:
+    """From far below it, from inside it, from its last number and from above it; it may begin below 0."""
     those = relays(1)
     those[0].page = lambda since: json.dumps(
-        whole(900, LINES) if len(those[0].asked) == 1 else {"seq": 901, "results": [
-            {"seq": 901, "invalidate": purge(77)}] if since == 900 else []}
+        whole(last, LINES) if len(those[0].asked) == 1 else {"seq": last + 1, "results": [
+            {"seq": last + 1, "invalidate": purge(77)}] if since == last else []}
     ).encode()  # fmt: skip
 
     async def play() -> None:
@@ -695,7 +697,7 @@
             await soon(lambda: 77 in follows.purged)
             assert follows.purged == [*ALL_GROUPS, 77]
             assert list(follows.loop.state.members.known) == [b"s-9"]
-            assert those[0].asked[0][0] == held and those[0].asked[1][0] == 900
+            assert those[0].asked[0][0] == held and those[0].asked[1][0] == last
 
     asyncio.run(play())
 
