Scale tests of control: a change log for many, hollow gateways, the slopes of one gateway

What control costs a gateway and what a log carries was known from single runs by hand. The log is a process of its own that makes purges at a rate, cuts pages as told and counts polls and bytes; hollow gateways are the real poller, loop, state, module and tables, hundreds in a process, and count each purge by its place in the seed's order, so one that is lost, comes twice or was never made shows. Light followers poll and count alone, for the log's side only.

--- /dev/null
+++ b/tests/test_capacity_control.py
@@ -0,0 +1,304 @@
+"""The scale tests of control: the stand-in log, hollow gateways, and that their counts find what is wrong."""
+
+from __future__ import annotations
+
+import gzip
+import json
+import os
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import pytest
+
+from hallproxy.lab.capacity import children, control, fleet, hollow
+from hallproxy.lab.capacity.children import Child
+from hallproxy.lab.capacity.registry import MeasurementError, Run
+from hallproxy.state.events import PurgeTold
+from tests.gateway import ROOT, until
+
+LISTED = 20
+SEED = 7
+Page = tuple[dict[str, str], dict[str, Any]]
+
+
+@pytest.fixture
+def started() -> Iterator[Callable[..., Child]]:
+    made: list[Child] = []
+
+    def start(module: str, *args: object) -> Child:
+        made.append(Child(module, *args))
+        return made[-1].ready()
+
+    yield start
+    for child in made:
+        if child.process.poll() is None:
+            child.process.kill()
+            child.process.wait()
+
+
+def log_of(started: Callable[..., Child], *words: object) -> Child:
+    return started("changelog", "--members", LISTED, "--seed", SEED, *words)
+
+
+def follow(started: Callable[..., Child], log: Child, count: int, *words: object) -> Child:
+    at, listed = log.told["address"], ("--members", LISTED, "--seed", SEED)
+    return started("hollow", "--at", at, "--gateways", count, *listed, *words)
+
+
+class Asker:
+    """One connection to a log."""
+
+    def __init__(self, log: Child) -> None:
+        host, port = log.told["address"].split(":")
+        self.sock = socket.create_connection((host, int(port)), timeout=10)
+        self.file = self.sock.makefile("rb")
+
+    def send(self, since: int, wait: int, fields: str = "") -> None:
+        self.sock.sendall(
+            f"GET /changes?since={since}&timeout={wait} HTTP/1.1\r\nHost: x\r\n{fields}\r\n".encode()
+        )
+
+    def page(self) -> Page:
+        assert self.file.readline().split()[1] == b"200"
+        fields: dict[str, str] = {}
+        while line := self.file.readline().strip().decode():
+            name, _, value = line.partition(": ")
+            fields[name.lower()] = value
+        body = self.file.read(int(fields["content-length"]))
+        return fields, json.loads(gzip.decompress(body) if "content-encoding" in fields else body)
+
+    def ask(self, since: int, wait: int = 5_000, fields: str = "") -> Page:
+        self.send(since, wait, fields)
+        return self.page()
+
+
+def numbers(page: Page) -> list[int]:
+    return [event["seq"] for event in page[1]["results"]]
+
+
+def test_the_log_begins_with_its_list_and_goes_on_with_the_purges_of_its_seed(
+    started: Callable[..., Child],
+) -> None:
+    log = log_of(started)
+    asker = Asker(log)
+    first = asker.ask(0)[1]["results"]
+    assert [e["seq"] for e in first] == [1] and first[0]["fleet"] == fleet.list_event(LISTED)
+    before = time.time_ns() // 1_000_000
+    log.command("purge", rate=1000, count=5)
+    until(lambda: log.ask("report")["purges"] == 5)
+    told = asker.ask(1)[1]
+    assert told["seq"] == 6 and [e["seq"] for e in told["results"]] == [2, 3, 4, 5, 6]
+    wanted = fleet.Purged(SEED)
+    assert [int(e["invalidate"]["object"], 16) for e in told["results"]] == [wanted[n] for n in range(5)]
+    times = [e["invalidate"]["time"] for e in told["results"]]
+    assert times == sorted(times) and before <= times[0] and times[-1] <= time.time_ns() // 1_000_000
+
+
+@pytest.mark.parametrize(
+    "words, sizes",
+    [
+        (("--gather-events", 4), [4, 8, 4, 8]),  # the second page holds all that came meanwhile
+        (("--gather-events", 4, "--page-events", 4), [4, 4, 4, 4, 4, 4]),
+        (("--gather-events", 6, "--page-events", 4), [4, 4, 4, 4, 4, 4]),
+        (("--gather-events", 12, "--page-events", 7), [7, 5, 7, 5]),
+        (("--page-events", 1), [1] * 24),
+        (("--gather-ms", 60_000, "--gather-events", 12), [12, 12]),
+    ],
+)
+def test_pages_are_cut_as_told_and_contiguous(
+    started: Callable[..., Child], words: tuple[object, ...], sizes: list[int]
+) -> None:
+    """Twice twelve events that come at once, while a poll is held."""
+    log = log_of(started, *words)
+    asker = Asker(log)
+    seen: list[int] = []
+    last = 1
+    for until_seq in (13, 25):
+        asker.send(last, 5_000)
+        until(lambda: log.ask("report")["polls"] == len(seen) + 1)
+        log.command("purge", rate=1e9, count=12)
+        while last < until_seq:
+            page = numbers(asker.page())
+            assert page == list(range(last + 1, last + 1 + len(page)))
+            seen.append(len(page))
+            last = page[-1]
+            if last < until_seq:
+                asker.send(last, 5_000)
+    assert seen == sizes
+
+
+def test_what_gathers_is_told_when_its_time_is_over_or_at_once_to_who_does_not_wait(
+    started: Callable[..., Child],
+) -> None:
+    log = log_of(started, "--gather-ms", 60_000)
+    asker = Asker(log)
+    log.command("purge", rate=100_000, count=3)
+    until(lambda: log.ask("report")["purges"] == 3)
+    assert numbers(asker.ask(1, 50)) == []  # not cut: the wait ends with nothing
+    assert numbers(asker.ask(1, 0)) == [2, 3, 4]
+    log.command("change", members=1, whole=False)  # the list cuts at once, with what has gathered
+    page = asker.ask(1)
+    assert numbers(page) == [2, 3, 4, 5] and page[1]["results"][-1]["fleet"]["generation"] == 2
+    soon = log_of(started, "--gather-ms", 100)
+    other = Asker(soon)
+    other.send(1, 5_000)
+    until(lambda: soon.ask("report")["polls"] == 1)
+    soon.command("purge", rate=100_000, count=3)
+    assert numbers(other.page()) == [2, 3, 4]
+
+
+def test_a_page_is_compressed_for_who_asks_for_it_and_every_byte_is_counted(
+    started: Callable[..., Child],
+) -> None:
+    log = log_of(started)
+    log.command("purge", rate=100_000, count=50)
+    until(lambda: log.ask("report")["purges"] == 50)
+    asker = Asker(log)
+    plain = asker.ask(1)
+    zipped = asker.ask(1, 5_000, "Accept-Encoding: br, gzip\r\n")
+    assert plain[1] == zipped[1] and "content-encoding" not in plain[0]
+    assert zipped[0]["content-encoding"] == "gzip"
+    assert int(zipped[0]["content-length"]) * 2 < int(plain[0]["content-length"])
+    report = log.ask("report")
+    asked = len("GET /changes?since=1&timeout=5000 HTTP/1.1\r\nHost: x\r\n\r\n")
+    assert report["bytes_in"] == 2 * asked + len("Accept-Encoding: br, gzip\r\n")
+    wanted = 0
+    for fields, _ in (plain, zipped):
+        wanted += len("HTTP/1.1 200 OK\r\n\r\n") + int(fields["content-length"])
+        wanted += sum(len(f"{name}: {value}\r\n") for name, value in fields.items())
+    assert report["bytes_out"] == wanted
+    assert (report["polls"], report["told"], report["gzipped"]) == (2, 100, 1)
+
+
+def test_the_log_refuses_what_is_no_poll(started: Callable[..., Child]) -> None:
+    log = log_of(started)
+    for said in ("/other HTTP/1.1\r\n\r\n", "x" * 5_000, "/changes?since=-1&timeout=1 HTTP/1.1\r\n\r\n"):
+        asker = Asker(log)
+        asker.sock.sendall(b"GET " + said.encode())
+        assert asker.file.readline().split()[1] == b"400"
+    assert log.ask("report")["refused"] == 3
+
+
+@pytest.mark.parametrize("words", [(), ("--light",), ("--light", "--gzip")])
+def test_followers_hold_every_purge_once(started: Callable[..., Child], words: tuple[object, ...]) -> None:
+    log = log_of(started)
+    followers = follow(started, log, 5, *words)
+    assert followers.told["ready"] == 5
+    began = log.ask("report")
+    assert began["followers"] == 5
+    log.command("purge", rate=400, count=60)
+    until(lambda: followers.ask("least")["least"] == 60)
+    report = followers.ask("report")
+    control.all_held(report, 5, 60)
+    assert report["lists"] == 0 and min(report["delay_us"]) >= 0
+    until(lambda: log.ask("report")["confirmed"] == 61)
+    log.command("change", members=2, whole=False)
+    until(lambda: followers.ask("report")["lists"] == 5)
+    # What follower and log count, byte by byte, once nothing is on the way.
+    until(lambda: log.ask("report")["confirmed"] == 62)
+    told, counted = log.ask("report"), followers.ask("report")
+    assert (counted["bytes_in"], counted["bytes_out"]) == (told["bytes_out"], told["bytes_in"])
+    assert counted["polls"] == told["polls"] and told["told"] == 5 * 61
+
+
+def test_counting_finds_what_is_lost_twice_or_never_made() -> None:
+    purged = fleet.Purged(SEED)
+    cases = (([0, 2], "lost"), ([0, 1, 1], "twice"), ([0, None, 1], "foreign"), ([0], "to 1 of 2"))
+    for order, word in cases:
+        tally, follower = hollow.Tally(purged), hollow.Follower()
+        for place in order:
+            tally.took(follower, 1 if place is None else purged[place], 0)
+        with pytest.raises(MeasurementError, match=word):
+            control.all_held(tally.report([follower]), 1, 2)
+    tally, pair = hollow.Tally(purged), [hollow.Follower(), hollow.Follower()]
+    for one in pair:
+        for place in range(2):
+            tally.took(one, purged[place], 0)
+    control.all_held(tally.report(pair), 2, 2)
+
+
+def test_a_hollow_gateway_is_a_gateway_inside() -> None:
+    """The list reaches its module, and a purge its tables, through the reducer."""
+    tally = hollow.Tally(fleet.Purged(SEED))
+    one, other = hollow.hollows(2, LISTED, 0, tally)
+    assert len(one.state.members.known) == LISTED and one.state.members is not other.state.members
+    assert one.state.settings is other.state.settings
+    obj = fleet.Purged(SEED)[0]
+    now = one.now()
+    one.bring(PurgeTold(now, obj, 0, now, now))
+    assert one.state.purges.last(obj, 0) == now and obj in one.state.router.purges
+    assert other.state.purges.last(obj, 0) == 0 and (one.next, other.next) == (1, 0)
+
+
+def alive(pid: int) -> bool:
+    """Whether it runs: who has ended and is not yet taken note of does not."""
+    try:
+        return Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()[0] != "Z"
+    except OSError:
+        return False
+
+
+def test_no_process_is_left_when_who_started_it_is_killed() -> None:
+    """A log and its followers, by a parent that dies without a word while purges come."""
+    text = (
+        "import time\n"
+        "from hallproxy.lab.capacity.children import Child\n"
+        "log = Child('changelog', '--members', 20).ready()\n"
+        "at = log.told['address']\n"
+        "words = '--at', at, '--gateways', 3, '--members', 20\n"
+        "made = [Child('hollow', *words), Child('hollow', *words, '--light')]\n"
+        "for one in made: one.ready()\n"
+        "log.command('purge', rate=200, count=5000)\n"
+        "print(log.pid, *(one.pid for one in made), flush=True)\n"
+        "time.sleep(60)\n"
+    )
+    parent = subprocess.Popen([sys.executable, "-c", text], cwd=ROOT, stdout=subprocess.PIPE, text=True)
+    assert parent.stdout is not None
+    pids = [int(word) for word in parent.stdout.readline().split()]
+    assert len(pids) == 3 and all(alive(pid) for pid in pids)
+    parent.kill()
+    parent.wait()
+    parent.stdout.close()
+    until(lambda: not any(alive(pid) for pid in pids))
+
+
+def test_a_process_ends_by_itself_after_its_time(started: Callable[..., Child]) -> None:
+    log = log_of(started, "--seconds", 0.2)
+    until(lambda: log.process.poll() is not None)
+    assert log.process.returncode == 0 and "ended after 0.2 s" in "".join(log.lines)
+    assert log.answer()["seq"] == 1  # its figures, all the same
+    with pytest.raises(MeasurementError, match="has ended"):
+        log.ask("report")
+
+
+def test_a_child_tells_of_its_end_and_of_its_faults(started: Callable[..., Child]) -> None:
+    with pytest.raises(MeasurementError, match="limit of descriptors"):
+        started("hollow", "--at", "127.0.0.1:1", "--gateways", 10_000_000)
+    log = log_of(started)
+    with pytest.raises(MeasurementError, match="within 0.05 s"):
+        log.answer(0.05)
+    assert children.memory_mb(log.pid) > 1 and children.cpu_s(log.pid) > 0
+    log.end()
+    assert log.process.returncode == 0
+
+
+def test_a_real_gateway_that_is_told_twice_or_too_little_is_found(tmp_path: Path) -> None:
+    run = Run(SEED, True, Random(SEED), tmp_path)
+    with Child("changelog", "--members", LISTED, "--seed", SEED).ready() as log:
+        with control.gateway(run, log, LISTED) as program:
+            told = control.purged(log, program.pid, 200, 20)
+            assert told.events == 20 and 0 < told.answers <= 20 and told.cpu_s > 0
+            other = threading.Thread(target=lambda: Asker(log).ask(21))  # told of one of them, then gone
+            other.start()
+            until(lambda: log.ask("report")["followers"] == 2)
+            with pytest.raises(MeasurementError, match="were told"):
+                control.purged(log, program.pid, 200, 20)
+            other.join()
+        assert not alive(program.pid) and os.path.exists(tmp_path / "gateway.json")
