--- a/hallproxy/feed/__init__.py
+++ b/hallproxy/feed/__init__.py
@@ -2,7 +2,7 @@
 
 ``told`` holds the events and the folded list, ``pages`` what is sent of them, ``log`` decides which page an
 asker gets and what becomes of a page from above, ``current`` how old the news is, ``confirmed`` how far all
-have come, ``sources`` whom a follower asks. Times are ns of one clock that never goes back, and are passed in.
+have come, ``choice`` whom a follower asks. Times are ns of one clock that never goes back, and are passed in.
 """
 
 GROUPS = 256  # groups of objects that a purge may name
