A hollow gateway is told beside the real one, and many of them in a process apart

Ten in one process cost 144 us an event each, against 487 for a real gateway: they share the waking up, so figures of crowded processes are not a gateway's own.

--- a/hallproxy/lab/capacity/control.py
+++ b/hallproxy/lab/capacity/control.py
@@ -23,6 +23,7 @@
 MEMBERS_TINY = 60
 EVENT_MOST = 400.0  # bytes of an event told alone, both ways: what the protocol's heads and JSON can come to
 CORE = 100.0  # %
+CROWD = 10  # hollow gateways in one process, told one by one
 
 
 def seconds(run: Run) -> float:
@@ -64,50 +65,50 @@
 
 @dataclass
 class Told:
-    """What came of some purges that one gateway was told."""
+    """What came of some purges that each follower of a log was told; figures are one follower's."""
 
     events: int
     seconds: float
-    cpu_s: float
-    bytes_in: int  # to the log
-    bytes_out: int  # from it
-    answers: int  # with events
+    cpu_s: tuple[float, ...]  # of each process
+    bytes_both: float  # to the log and from it
+    answers: float  # with events
 
     @property
     def core_share(self) -> float:
-        return CORE * self.cpu_s / self.seconds
+        return CORE * self.cpu_s[0] / self.seconds
 
     @property
     def bytes_per_s(self) -> float:
-        return (self.bytes_in + self.bytes_out) / self.seconds
+        return self.bytes_both / self.seconds
 
     @property
     def us_per_event(self) -> float:
-        return self.cpu_s / self.events * 1e6
+        return self.cpu_s[0] / self.events * 1e6
 
     @property
     def bytes_per_event(self) -> float:
-        return (self.bytes_in + self.bytes_out) / self.events
+        return self.bytes_both / self.events
 
 
-def purged(log: Child, pid: int, rate: float, count: int) -> Told:
-    """Have the log tell so many purges, until its only follower has confirmed them all.
+def purged(log: Child, rate: float, count: int, *pids: int, each: int = 1) -> Told:
+    """Have the log tell so many purges, until its followers, `each` in each process, have confirmed them.
 
     Raises MeasurementError if one is told twice or not at all.
     """
-    before, cpu, began = log.ask("report"), cpu_s(pid), time.monotonic()
+    followers = each * len(pids)
+    before, cpu, began = log.ask("report"), [cpu_s(pid) for pid in pids], time.monotonic()
+    require(before["followers"] == followers, f"{before['followers']} followers, {followers} wanted")
     log.command("purge", rate=rate, count=count)
     time.sleep(count / rate)
     until(lambda: log.ask("report")["confirmed"] == before["seq"] + count, f"{count} purges at the gateway")
-    took, spent, after = time.monotonic() - began, cpu_s(pid) - cpu, log.ask("report")
+    took, spent = time.monotonic() - began, [cpu_s(pid) - was for pid, was in zip(pids, cpu, strict=True)]
+    after = log.ask("report")
     told = after["told"] - before["told"]
-    require(told == count, f"{count} purges, but {told} were told")
-    require(after["connects"] == before["connects"], "the gateway connected anew")
+    require(told == count * followers, f"{count} purges, but {told} were told to {followers}")
+    require(after["connects"] == before["connects"], "a gateway connected anew")
     answers = after["polls"] - before["polls"] - (after["empty"] - before["empty"])
-    return Told(
-        count, took, spent, after["bytes_in"] - before["bytes_in"], after["bytes_out"] - before["bytes_out"],
-        answers,
-    )  # fmt: skip
+    bytes_both = sum(after[name] - before[name] for name in ("bytes_in", "bytes_out"))
+    return Told(count, took, tuple(spent), bytes_both / followers, answers / followers)
 
 
 @measurement(
@@ -131,7 +132,7 @@
     listed = members(run)
     with Child("changelog", "--members", listed, "--seed", run.seed).ready() as log:
         with gateway(run, log, listed) as program:
-            told = purged(log, program.pid, size, max(2, round(size * seconds(run))))
+            told = purged(log, size, max(2, round(size * seconds(run))), program.pid)
             require(told.bytes_per_event < EVENT_MOST + 400 / size, f"{told.bytes_per_event:.0f} B an event")
             return {
                 "core_share": told.core_share,
@@ -181,7 +182,7 @@
     words = ("--gather-events", events, "--page-events", events)
     with Child("changelog", "--members", listed, "--seed", run.seed, *words).ready() as log:
         with gateway(run, log, listed) as program:
-            told = purged(log, program.pid, RATE, count)
+            told = purged(log, RATE, count, program.pid)
             require(told.answers == count / events, f"{told.answers} pages of {events} for {count} purges")
             return {
                 "core_share": told.core_share,
@@ -210,7 +211,7 @@
 @measurement(
     name="control.hollow",
     role="control",
-    title="A hollow gateway against a real one, told of the same purges at once",
+    title="A hollow gateway against a real one, told of the same purges by the same log",
     x="purges",
     x_unit="/s",
     sizes=(45, 90, 180, 360),
@@ -219,33 +220,42 @@
         Quantity("core_us_real", "us an event", fitted=False),
         Quantity("core_us_hollow", "us an event", fitted=False),
         Quantity("difference_percent", "%", fitted=False),
+        Quantity("core_us_crowded", "us an event, of each of many in a process", fitted=False),
         Quantity("bytes_real", "B an event", fitted=False),
         Quantity("bytes_hollow", "B an event", fitted=False),
     ),
 )
 def hollow_against_real(size: float, run: Run) -> Measured:
-    """Both follow a log of their own, one behind the other: what one costs the other must not count."""
+    """Both are told at once, each in a process of its own, so what else the machine does costs both alike.
+
+    Many in one process share its waking up: what they cost is less than what as many gateways would.
+    """
     listed, count = members(run), max(2, round(size * seconds(run) / 2))
+    crowd = 4 if run.tiny else CROWD
     with Child("changelog", "--members", listed, "--seed", run.seed).ready() as log:
-        with gateway(run, log, listed) as program:
-            real = purged(log, program.pid, size, count)
-    with Child("changelog", "--members", listed, "--seed", run.seed).ready() as log:
-        with hollow(log, run, 1, listed).ready() as one:
+        with gateway(run, log, listed) as program, hollow(log, run, 1, listed).ready() as one:
             before = one.ask("report")
-            like = purged(log, one.pid, size, count)
-            report = one.ask("report")
-            all_held(report, 1, count)
-            counted = sum(report[name] - before[name] for name in ("bytes_in", "bytes_out"))
+            both = purged(log, size, count, program.pid, one.pid)
+            after = one.ask("report")
+            all_held(after, 1, count)
+            bytes_hollow = sum(after[name] - before[name] for name in ("bytes_in", "bytes_out"))
+            bytes_real = 2 * both.bytes_both - bytes_hollow
             require(
-                abs(counted - like.bytes_in - like.bytes_out) < 4 * EVENT_MOST,
-                f"the follower counts {counted} bytes, the log {like.bytes_in + like.bytes_out}",
+                abs(bytes_real - bytes_hollow) < 4 * EVENT_MOST,
+                f"the hollow gateway counts {bytes_hollow} bytes, the log {bytes_real} for the real one",
             )
+    with Child("changelog", "--members", listed, "--seed", run.seed).ready() as log:
+        with hollow(log, run, crowd, listed).ready() as many:
+            told = purged(log, size, count, many.pid, each=crowd)
+            all_held(many.ask("report"), crowd, count)
+    real, like = both.cpu_s
     return {
-        "core_us_real": real.us_per_event,
-        "core_us_hollow": like.us_per_event,
-        "difference_percent": 100 * (like.us_per_event / real.us_per_event - 1),
-        "bytes_real": real.bytes_per_event,
-        "bytes_hollow": like.bytes_per_event,
+        "core_us_real": real / count * 1e6,
+        "core_us_hollow": like / count * 1e6,
+        "difference_percent": 100 * (like / real - 1),
+        "core_us_crowded": told.us_per_event / crowd,
+        "bytes_real": bytes_real / count,
+        "bytes_hollow": bytes_hollow / count,
     }
 
 
--- a/tests/test_capacity_control.py
+++ b/tests/test_capacity_control.py
@@ -293,12 +293,14 @@
     run = Run(SEED, True, Random(SEED), tmp_path)
     with Child("changelog", "--members", LISTED, "--seed", SEED).ready() as log:
         with control.gateway(run, log, LISTED) as program:
-            told = control.purged(log, program.pid, 200, 20)
-            assert told.events == 20 and 0 < told.answers <= 20 and told.cpu_s > 0
+            told = control.purged(log, 200, 20, program.pid)
+            assert told.events == 20 and 0 < told.answers <= 20 and told.cpu_s[0] > 0
+            with pytest.raises(MeasurementError, match="1 followers, 2 wanted"):
+                control.purged(log, 200, 20, program.pid, program.pid)
             other = threading.Thread(target=lambda: Asker(log).ask(21))  # told of one of them, then gone
             other.start()
             until(lambda: log.ask("report")["followers"] == 2)
             with pytest.raises(MeasurementError, match="were told"):
-                control.purged(log, program.pid, 200, 20)
+                control.purged(log, 200, 20, program.pid, program.pid)
             other.join()
         assert not alive(program.pid) and os.path.exists(tmp_path / "gateway.json")
