--- a/hallproxy/lab/capacity/control.py
+++ b/hallproxy/lab/capacity/control.py
@@ -41,7 +41,7 @@
 
 
 @contextmanager
-def gateway(run: Run, log: Child, members: int) -> Iterator[Program]:
+def gateway(run: Run, log: Child, members: int, *words: str) -> Iterator[Program]:
     """A real gateway that follows the log from the list that its configuration knows."""
     known = {"seq": FIRST, "results": [{"seq": FIRST, "fleet": fleet.list_event(members)}]}
     config = {
@@ -57,7 +57,7 @@
     }
     path = run.where / "gateway.json"
     path.write_text(json.dumps(config))
-    with Program(EDGE_CONFIG=str(path), EDGE_NAME="measured") as program:
+    with Program(*words, EDGE_CONFIG=str(path), EDGE_NAME="measured") as program:
         program.listens()
         yield program
         require(not any("change log:" in x or "fault" in x for x in program.lines), "\n".join(program.lines))
@@ -194,9 +194,9 @@
             }
 
 
-def hollow(log: Child, run: Run, count: int, listed: int, *words: object) -> Child:
-    """A process of hollow gateways that follow the log."""
-    asked: list[object] = ["--at", log.told["address"], "--gateways", count, "--members", listed]
+def hollow(at: str, run: Run, count: int, listed: int, *words: object) -> Child:
+    """A process of hollow gateways that follow the log, or relay, at this address."""
+    asked: list[object] = ["--at", at, "--gateways", count, "--members", listed]
     return Child("hollow", *asked, "--seed", run.seed, *words)
 
 
@@ -233,7 +233,7 @@
     listed, count = members(run), max(2, round(size * seconds(run) / 2))
     crowd = 4 if run.tiny else CROWD
     with Child("changelog", "--members", listed, "--seed", run.seed).ready() as log:
-        with gateway(run, log, listed) as program, hollow(log, run, 1, listed).ready() as one:
+        with gateway(run, log, listed) as program, hollow(log.told["address"], run, 1, listed).ready() as one:
             before = one.ask("report")
             both = purged(log, size, count, program.pid, one.pid)
             after = one.ask("report")
@@ -245,7 +245,7 @@
                 f"the hollow gateway counts {bytes_hollow} bytes, the log {bytes_real} for the real one",
             )
     with Child("changelog", "--members", listed, "--seed", run.seed).ready() as log:
-        with hollow(log, run, crowd, listed).ready() as many:
+        with hollow(log.told["address"], run, crowd, listed).ready() as many:
             told = purged(log, size, count, many.pid, each=crowd)
             all_held(many.ask("report"), crowd, count)
     real, like = both.cpu_s
--- a/hallproxy/lab/capacity/hollow.py
+++ b/hallproxy/lab/capacity/hollow.py
@@ -23,10 +23,12 @@
 import sys
 import time
 from array import array
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Sequence
-from typing import Any
+from random import Random
+from typing import Any, Self
 
+from hallproxy.feed.choice import Choice
 from hallproxy.lab.capacity import fleet
 from hallproxy.lab.capacity.children import Command, connections_most, obey, own_figures, tell
 from hallproxy.logic import Router
@@ -45,6 +47,7 @@
 PURGES_MOST = 200_000  # that are counted one by one
 FIRST = 1  # the list's own number: what the configuration's `known` ends with
 RETRY = 0.05  # s from one connect of a light follower to the next
+CONNECTS_MOST = 20_000  # that are noted with their time
 WAIT = 1_000  # ms that a light follower's poll is held
 
 
@@ -57,6 +60,12 @@
         self.delay = array("q")  # by a purge's place: us from its own time until the last one did
         self.lost = self.twice = self.foreign = self.groups = self.lists = 0
         self.connects = self.bytes_in = self.bytes_out = self.polls = 0
+        # Unix ms and port of connects, the last ones.
+        self.connected: deque[tuple[int, int]] = deque(maxlen=CONNECTS_MOST)
+
+    def connects_to(self, where: Address) -> None:
+        self.connects += 1
+        self.connected.append((time.time_ns() // MS, where[1]))
 
     def took(self, follower: Follower, obj: int, at_ms: int) -> None:
         """A follower holds this purge now, which was made at `at_ms`."""
@@ -102,10 +111,14 @@
 
 
 class Counted(Stream):
-    """The poller's stream, whose bytes are counted."""
+    """The poller's stream, whose connects and bytes are counted."""
 
     tally: Tally
 
+    def connect(self: Self, address: Any, server_hostname: str | None = None) -> asyncio.Future[Self]:
+        self.tally.connects_to(address)
+        return super().connect(address, server_hostname)
+
     def gather(self, pieces: Sequence[bytes]) -> None:
         super().gather(pieces)
         self.tally.polls += 1
@@ -119,7 +132,6 @@
     @classmethod
     def made(cls, sock: socket.socket) -> Stream:
         """As `sockets.stream` makes one."""
-        cls.tally.connects += 1
         made = cls(sock, max_buffer_size=1 << 40, read_chunk_size=65_536)
         made.set_nodelay(True)
         return made
@@ -212,7 +224,7 @@
             self._lost = running.create_future()
             self._came = b""
             try:
-                self._tally.connects += 1
+                self._tally.connects_to(self._where)
                 await running.create_connection(lambda: self, *self._where)
                 await self._lost
             except OSError as error:
@@ -273,7 +285,8 @@
 async def serve(args: argparse.Namespace) -> None:
     empty_mb = own_figures()["peak_mb"]
     tally = Tally(fleet.Purged(args.seed))
-    where = address(args.at)
+    addresses = tuple(map(address, args.at.split(",")))
+    where = addresses[0]
     followers: Sequence[Follower]
     tasks: list[asyncio.Future[Any]]
     if args.light:
@@ -291,7 +304,13 @@
         followers = made
         gc.collect()
         gc.freeze()
-        pollers = [changelog.Poller(one, where, FIRST) for one in made]
+        others = len(addresses) > 1
+        pollers = []
+        for number, one in enumerate(made, args.first):
+            name = f"hollow-{number}"
+            many = Choice(name, addresses, args.spread_ms / 1000, Random(name))
+            whom: Address | Choice = many if others or args.gzip else where
+            pollers.append(changelog.Poller(one, whom, FIRST, others))
         tasks = [asyncio.ensure_future(one.run()) for one in pollers]
         for poller in pollers:
             await poller.current()
@@ -300,6 +319,8 @@
     def do(command: Command) -> Command:
         if command["do"] == "least":
             return {"least": min(one.next for one in followers)}
+        if command["do"] == "connects":
+            return {"connects": list(tally.connected)}
         return tally.report(followers)
 
     await obey(do, args.seconds)
@@ -310,14 +331,15 @@
 
 def main(argv: Sequence[str] | None = None) -> int:
     parser = argparse.ArgumentParser(prog="hallproxy.lab.capacity.hollow", description="Hollow gateways.")
-    parser.add_argument("--at", required=True, help="the change log's address")
+    parser.add_argument("--at", required=True, help="addresses of a change log or of relays, with commas")
     parser.add_argument("--gateways", type=int, required=True)
     parser.add_argument("--members", type=int, default=150, help="stores on the list")
     parser.add_argument("--seed", type=int, default=1, help="of the purges")
     parser.add_argument("--first", type=int, default=0, help="number of the first gateway")
     parser.add_argument("--seconds", type=float, default=60.0, help="after which it ends by itself")
     parser.add_argument("--light", action="store_true", help="followers that poll and count alone")
-    parser.add_argument("--gzip", action="store_true", help="light ones ask for it")
+    parser.add_argument("--gzip", action="store_true", help="ask for it")
+    parser.add_argument("--spread-ms", type=int, default=500, help="how long a change of address may take")
     args = parser.parse_args(argv)
     if args.gateways > connections_most():
         parser.error(f"the limit of descriptors leaves room for {connections_most()} connections")
--- a/hallproxy/lab/capacity/logs.py
+++ b/hallproxy/lab/capacity/logs.py
@@ -26,26 +26,35 @@
 
 
 def seconds(run: Run) -> float:
-    return 0.4 if run.tiny else 5.0
+    return 0.25 if run.tiny else 5.0
 
 
 class Followers:
     """Processes of followers at some addresses, hollow ones first, and what all of them hold together."""
 
     def __init__(
-        self, run: Run, stack: ExitStack, addresses: list[str], count: int, hollow: int, *words: object
+        self,
+        run: Run,
+        stack: ExitStack,
+        addresses: list[str],
+        count: int,
+        hollow: int,
+        *words: object,
+        parts: int = 0,
     ) -> None:
-        """`count` of them in all, as evenly over the addresses as can be; `hollow` of those are gateways."""
+        """`count` of them in all, up to `hollow` of them gateways, in so many processes of those.
+
+        Each process follows one of the addresses, which take turns.
+        """
         listed = MEMBERS_TINY if run.tiny else MEMBERS
         self.count = count
         self.children: list[tuple[Child, int, bool]] = []  # process, followers in it, whether they are hollow
         self.before: list[dict[str, Any]] = []
         kinds = [(min(count, hollow), False), (max(0, count - hollow), True)]
         for followers, light in kinds:
-            parts = 1 if run.tiny or light else PROCESSES // 2
-            parts = max(parts, len(addresses)) if followers else 0
-            for part in range(parts):
-                size = followers // parts + (part < followers % parts)
+            processes = 1 if light else parts or (1 if run.tiny else PROCESSES // 2)
+            for part in range(processes):
+                size = followers // processes + (part < followers % processes)
                 if size:
                     args: list[object] = ["--at", addresses[part % len(addresses)], "--gateways", size]
                     args += ["--members", listed, "--seed", run.seed, "--first", 10_000 * part, *words]
@@ -70,6 +79,11 @@
             require(not child.faults, f"a follower had a fault: {list(child.lines)[-3:]}")
         return reports
 
+    def connects(self) -> list[tuple[int, int]]:
+        """Unix ms and port of each connect that a follower has made, in the order of time."""
+        told = [child.ask("connects")["connects"] for child, _, _ in self.children]
+        return sorted((at, port) for one in told for at, port in one)
+
     def figures(self, reports: list[dict[str, Any]], took: float) -> Measured:
         """Delays are each purge's, from its own time until the last of all followers held it."""
         delays = HdrHistogram(1, HOUR_US, 3)
--- a/tests/test_capacity_control.py
+++ b/tests/test_capacity_control.py
@@ -11,13 +11,14 @@
 import threading
 import time
 from collections.abc import Callable, Iterator
+from contextlib import ExitStack
 from pathlib import Path
 from random import Random
 from typing import Any
 
 import pytest
 
-from hallproxy.lab.capacity import children, control, fleet, hollow
+from hallproxy.lab.capacity import children, control, fleet, hollow, logs, relay
 from hallproxy.lab.capacity.children import Child
 from hallproxy.lab.capacity.registry import MeasurementError, Run
 from hallproxy.state.events import PurgeTold
@@ -304,3 +305,37 @@
                 control.purged(log, 200, 20, program.pid, program.pid)
             other.join()
         assert not alive(program.pid) and os.path.exists(tmp_path / "gateway.json")
+
+
+def test_connects_are_counted_by_relay_in_any_100_ms() -> None:
+    connects = [(at, 1) for at in (0, 5, 10, 15, 1000, 1050, 1099, 1100, 1199)] + [(1100, 2), (1100, 3)]
+    assert relay.burst(sorted(connects), 100, {1, 2}) == 3  # 1000, 1050, 1099: at 1100 the first is out
+    assert relay.burst(sorted(connects), 0, {1, 2}) == 4
+    assert relay.burst(sorted(connects), 1150, {2}) == 0
+
+
+def test_followers_of_two_relays_hold_all_and_who_is_short_is_found(tmp_path: Path) -> None:
+    """Hollow and light ones together, by a relay each; a purge that one process lacks is a MeasurementError."""
+    run = Run(SEED, True, Random(SEED), tmp_path)
+    with ExitStack() as stack:
+        log = relay.log_of(run, stack)
+        above = [log.told["address"]]
+        relays = relay.ready([relay.Relay(run, stack, f"r-{n}", above, 20) for n in range(2)])
+        asking = logs.Followers(run, stack, [r.address for r in relays], 6, 4, "--gzip", parts=2)
+        assert [(size, gateways) for _, size, gateways in asking.children] == [(2, True), (2, True), (2, False)]
+        asking.begin()
+        log.command("purge", rate=1_000, count=30)
+        reports = asking.hold(30)
+        figures = asking.figures(reports, 1.0)
+        assert 0 < (figures["delay_p50_ms"] or 0) <= (figures["delay_p100_ms"] or 0)
+        assert sorted(r.status()["followers"] for r in relays) == [2, 4]
+        relay.plain_only(relays)
+        assert {at for _, at in asking.connects()} == {int(r.address.split(":")[1]) for r in relays}
+        reports[0]["held"][7] -= 1
+        with pytest.raises(MeasurementError, match="not held by every follower"):
+            control.all_held(reports[0], 2, 30)
+        asker = socket.create_connection(("127.0.0.1", int(relays[0].address.split(":")[1])), timeout=10)
+        asker.sendall(b"GET /nothing HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert asker.recv(100).startswith(b"HTTP/1.1 404 ")
+        with pytest.raises(MeasurementError, match="r-0 answered otherwise: {'bad': 1}"):
+            relay.plain_only(relays)
