--- a/tests/test_capacity_control.py
+++ b/tests/test_capacity_control.py
@@ -315,14 +315,14 @@
 
 
 def test_followers_of_two_relays_hold_all_and_who_is_short_is_found(tmp_path: Path) -> None:
-    """Hollow and light ones together, by a relay each; a purge that one process lacks is a MeasurementError."""
+    """Hollow and light ones together, over two relays; a purge that one process lacks is found."""
     run = Run(SEED, True, Random(SEED), tmp_path)
     with ExitStack() as stack:
         log = relay.log_of(run, stack)
         above = [log.told["address"]]
         relays = relay.ready([relay.Relay(run, stack, f"r-{n}", above, 20) for n in range(2)])
         asking = logs.Followers(run, stack, [r.address for r in relays], 6, 4, "--gzip", parts=2)
-        assert [(size, gateways) for _, size, gateways in asking.children] == [(2, True), (2, True), (2, False)]
+        assert [(size, real) for _, size, real in asking.children] == [(2, True), (2, True), (2, False)]
         asking.begin()
         log.command("purge", rate=1_000, count=30)
         reports = asking.hold(30)
