--- a/hallproxy/feed/__init__.py
+++ b/hallproxy/feed/__init__.py
@@ -1,8 +1,8 @@
 """The change log as it is passed on to many: decisions without I/O and without a clock.
 
-``told`` holds the events and the folded list, ``pages`` what is sent of them, ``log`` decides which page an
-asker gets and what becomes of a page from above, ``current`` how old the news is, ``confirmed`` how far all
-have come, ``choice`` whom a follower asks. Times are ns of one clock that never goes back, and are passed in.
+``choice`` says whom a follower asks. ``told`` holds the events and the folded list, ``pages`` what is sent of
+them, ``log`` decides which page an asker gets and what becomes of a page from above, ``current`` how old the
+news is, ``confirmed`` how far all have come. Times are ns of one clock that never goes back, and passed in.
 """
 
 GROUPS = 256  # groups of objects that a purge may name
