--- /dev/null
+++ b/hallproxy/lab/capacity/cold.py
@@ -0,0 +1,99 @@
+"""A cold store before ever more gateways: each knows its own calls alone, and all must not break it."""
+
+import math
+from dataclasses import replace
+
+from hallproxy import Router
+from hallproxy.interface import (
+    Get,
+    ListKind,
+    Member,
+    MembersChanged,
+    Outcome,
+    Request,
+    RequestClass,
+    Settings,
+    State,
+    Status,
+)
+from hallproxy.lab.capacity.registry import Measured, MeasurementError, Quantity, Run, measurement
+
+MS, SECOND = 1_000_000, 1_000_000_000  # ns
+START = 1_000 * SECOND
+TICK = 100 * MS
+TICKS = 80
+BURSTS = (30, 31, 32, 60, 61)
+"""Ticks at which all gateways ask; between them it is quiet, and each saves up."""
+WORK = 0.4  # s of sending of each request
+SIZE_KB = 400.0
+WEIGHT = 40.0  # transfers that the cold store's link bears
+
+SETTINGS = Settings(
+    classes=(RequestClass(400 * MS, 5 * SECOND),), zone=0, zone_hub=(0,), parent_kind=1, origin_kind=2,
+    cold_share=0.2, cold_time=15 * SECOND, fall_multiple=3.0, fall_time=SECOND, drain_grace=500 * MS,
+    answer_slack=8 * MS, tick=2 * MS, flow_kb_s=SIZE_KB / WORK, parent_cold_share=0.06,
+    parent_cold_time=22 * SECOND, parent_fall_multiple=2.0, cancel=True, max_attempts=6, weights_told=True,
+)  # fmt: skip
+CACHE = Member(b"cold", State.READY, kind=0, weight=WEIGHT, started=START)
+PARENT = Member(b"cold", State.READY, kind=1, weight=WEIGHT, started=START)
+WARM = Member(b"warm", State.READY, kind=0, weight=WEIGHT)
+WARM_PARENT = Member(b"parent", State.READY, kind=1, weight=WEIGHT)
+ORIGIN = Member(b"origin", State.READY, kind=2, weight=WEIGHT)
+
+
+def borne(cold: Member, tick: int) -> float:
+    """Calls that it bears in the window which begins at the tick."""
+    least, time, multiple = (0.2, 15, 3.0) if cold.kind == 0 else (0.06, 22, 2.0)
+    return multiple * (least + (1 - least) * tick * TICK / SECOND / time) * cold.weight / WORK
+
+
+def called(cold: Member, routers: int, run: Run) -> list[int]:
+    """How often it was called in each tick. MeasurementError if a call outlives its request."""
+    others = (WARM, WARM_PARENT) if cold.kind == 0 else (WARM,)
+    settings = replace(SETTINGS, zone_routers=(routers,), routers=routers)
+    members = MembersChanged(ListKind.CACHED, (cold, *others, ORIGIN))
+    fleet = []
+    for me in range(routers):
+        fleet.append(Router(replace(settings, me=me), run.random.getrandbits(32)))
+        fleet[-1].handle(START, [members])
+    calls, ident = [0] * TICKS, 0
+    for tick in BURSTS:
+        now = START + tick * TICK
+        for _ in range(max(routers, 8 * math.ceil(borne(cold, tick)))):
+            router, ident = fleet[run.random.randrange(routers)], ident + 1
+            asked = Request(ident, 0, 3 * SECOND, object=run.random.getrandbits(48) + 1, size_kb=SIZE_KB)
+            sent = [action for action in router.handle(now, [asked]) if isinstance(action, Get)]
+            if len(sent) > 1:
+                raise MeasurementError(f"{len(sent)} attempts for one request")
+            for get in sent:
+                calls[tick] += cold.server in (get.server, get.source)
+                router.handle(now, [Outcome(ident, 0, get.server, Status.OK, 50 * MS, True, 0)])
+    return calls
+
+
+def over(cold: Member, calls: list[int]) -> tuple[float, float]:
+    """The most over what it bears in any window, in parts of 2 x root of N + 2, and the most over N."""
+    window = SECOND // TICK
+    came = [(sum(calls[tick : tick + window]), borne(cold, tick)) for tick in range(TICKS)]
+    if not any(calls):
+        raise MeasurementError("a cold store that is never called")
+    return max((sent - n) / (2 * math.sqrt(n) + 2) for sent, n in came), max(sent / n for sent, n in came)
+
+
+@measurement(
+    name="stores.cold", role="store", x="gateways", sizes=(30, 139, 418, 1_500, 7_100), tiny=(4, 8, 16, 32),
+    title="Calls of a cold store in a window after a quiet time, over the N that it bears: what is over, in "
+    "parts of 2 x root of N + 2, and the most as a share of N; all gateways share one cache, or one parent",
+    quantities=(Quantity("over", "", fitted=False), Quantity("of_n", "", fitted=False),
+                Quantity("over_parent", "", fitted=False), Quantity("of_n_parent", "", fitted=False)),
+    minutes=3.0,
+)  # fmt: skip
+def cold(size: float, run: Run) -> Measured:
+    routers = int(size)
+    cache = over(CACHE, called(CACHE, routers, run))
+    parent = over(PARENT, called(PARENT, routers, run))
+    if run.tiny and max(cache[0], parent[0]) > 1:
+        raise MeasurementError(
+            f"over what a cold store bears by {max(cache[0], parent[0]):.2f} parts of chance"
+        )
+    return {"over": cache[0], "of_n": cache[1], "over_parent": parent[0], "of_n_parent": parent[1]}
--- /dev/null
+++ b/hallproxy/lab/capacity/failures.py
@@ -0,0 +1,328 @@
+"""The rows of the page's second table: what each failure of the size loses and costs, until all is whole."""
+
+import json
+from dataclasses import dataclass
+
+from hallproxy.lab.capacity.roles import (
+    DRAIN,
+    LINKS,
+    MEMBERS,
+    MODULE,
+    POLLER,
+    READY,
+    RELAY,
+    SECOND,
+    START,
+    STARTED,
+)
+from hallproxy.lab.capacity.rows import Figure, Mechanism, Need, Slope, Slopes, Worked, amount, num, sources
+from hallproxy.lab.capacity.size import SIZE, Size
+from hallproxy.run import changelog, main
+from hallproxy.state import calls
+
+NOTICED = changelog.WAIT / 1000 + changelog.ANSWER_IN
+"""s after which a poll that is not answered has failed."""
+RACK = 10
+"""Stores of a rack, for the sake of an example: nobody told how many machines a rack has."""
+GROUPS = 256
+"""Groups of objects; a whole page purges each of them."""
+EVENT = len(json.dumps({"seq": 10**9, "invalidate": {"object": "0" * 16, "time": 1_700_000_000_000}}))
+"""Bytes of a purge in a page, plain."""
+
+
+@dataclass(frozen=True)
+class Failure:
+    """`often` is the operators'; `lost` and `noticed` are said in words, `until` and `cost` worked out."""
+
+    name: str
+    often: str
+    lost: str
+    noticed: str
+    until: Figure
+    cost: Figure
+    cost_of: str
+    mechanism: Mechanism
+
+
+def _whole(objects: float) -> Figure:
+    """A store's objects asked for again, each once, at the rate that requests come to it."""
+    rate = SIZE.requests / SIZE.stores
+    text = f"{num(objects)} objects asked for again at {num(rate)} requests/s, at the very least"
+    return Figure("min", lambda size: Worked(objects / rate / 60, text))
+
+
+def _refilled(stores: float) -> Figure:
+    held = SIZE.objects / SIZE.stores
+    text = f"{num(stores)} × {num(held)} objects × {num(SIZE.body_kb)} KB"
+    return Figure("TB", lambda size: Worked(stores * held * SIZE.body_kb / 1e9, text))
+
+
+def _told_lists(stores: float) -> Figure:
+    def work(size: Size, change: Slope) -> Worked:
+        ms = change.at(size.stores)
+        return Worked(3 * stores * ms, f"3 × {num(stores)} changes of the list × {num(ms)} ms")
+
+    return Figure("ms of each gateway's loop", work, (Need("control.members", "core_ms"),))
+
+
+def _ready(size: Size, ready: Slope) -> Worked:
+    ms = ready.at(size.stores)
+    return Worked(ms / 1e3, f"{num(ms)} ms from start to listening, {num(size.stores)} members")
+
+
+def _site_bytes(size: Size, told: Slope) -> Worked:
+    each = told.at(size.stores) / 1e6
+    return Worked(size.site * each, f"{num(size.site)} gateways × {num(each)} MB")
+
+
+def _missed(size: Size) -> Worked:
+    events = size.purges * size.cut
+    seconds = events * EVENT / size.control_bytes
+    text = (
+        f"{num(size.purges)}/s × {num(size.cut)} s = {num(events)} events × {num(EVENT)} bytes "
+        f"÷ {num(size.control_bytes)} bytes/s"
+    )
+    return Worked(seconds, text)
+
+
+def _whole_page(size: Size, listed: Slope) -> Worked:
+    each = (listed.at(size.stores) + GROUPS * EVENT) / size.control_bytes
+    text = (
+        f"({num(listed.at(size.stores))} bytes of the list + {num(GROUPS)} groups × {num(EVENT)} bytes) "
+        f"÷ {num(size.control_bytes)} bytes/s"
+    )
+    return Worked(each, text)
+
+
+def _whole_pages(size: Size, listed: Slope) -> Worked:
+    each = (listed.at(size.stores) + GROUPS * EVENT) / 1e6
+    text = f"{num(size.region_gateways)} gateways × {num(each)} MB, plain"
+    return Worked(size.region_gateways * each, text)
+
+
+def _moved(size: Size) -> Worked:
+    polls = size.followers
+    text = f"{num(polls)} followers connect anew to {num(size.control_machines - 1)} machines"
+    return Worked(polls / (size.control_machines - 1), text)
+
+
+LISTED = Need("control.members", "bytes_whole")
+HELD = SIZE.objects / SIZE.stores
+
+FAILURES = (
+    Failure(
+        "a store's machine",
+        f"{num(SIZE.failed_a_day)} machines a day, if all were stores",
+        f"{num(HELD)} copies; the attempts that are out at it",
+        "by each gateway for itself: two failed connects, or answers that stay away; by all through the list",
+        _whole(HELD),
+        _refilled(1),
+        "fills from parents and origin",
+        MODULE,
+    ),
+    Failure(
+        "a gateway's machine",
+        f"{num(SIZE.failed_a_day)} machines a day, if all were gateways",
+        f"{num(SIZE.asked)} requests/s until clients ask another; nothing that is kept elsewhere too",
+        "by clients and the front ahead of it; nothing here tells that a gateway is gone",
+        Figure("s", _ready, (READY,)),
+        Figure("KB", lambda size, told: Worked(told.at(size.stores) / 1e3, "bytes of a start"), (STARTED,)),
+        "what a start asks for",
+        START,
+    ),
+    Failure(
+        "a planned restart or replacement",
+        f"{num(SIZE.restarted_a_day)} a day",
+        "nothing: what is open is answered, what comes late refused with a time to come back",
+        "told ahead: clients by go-away, the front by readiness",
+        Figure(
+            "s",
+            lambda size, ready: Worked(
+                main.QUIET_MOST + ready.at(size.stores) / 1e3,
+                f"{num(main.QUIET_MOST)} s at most to drain + {num(ready.at(size.stores))} ms to listen",
+            ),
+            (READY,),
+        ),
+        Figure(
+            "s of a core a day",
+            lambda size, core: Worked(
+                size.restarted_a_day * core.at(size.stores) / 1e3,
+                f"{num(size.restarted_a_day)} × {num(core.at(size.stores))} ms",
+            ),
+            (Need("starts.members", "core_ms"),),
+        ),
+        "starts",
+        DRAIN,
+    ),
+    Failure(
+        f"a rack or switch; for each {RACK} stores on it",
+        f"{num(SIZE.racks_a_week)} a week",
+        f"{num(RACK)} of a zone's {num(SIZE.zone_stores)} stores and {num(RACK * HELD)} copies",
+        "as a store's machine, at all of them at once; a switch that comes back brings the copies back",
+        _whole(HELD),
+        _told_lists(RACK),
+        "changes of the list",
+        MEMBERS,
+    ),
+    Failure(
+        "a zone",
+        f"at most {num(SIZE.zones_a_year)} a year",
+        f"{num(SIZE.zone_stores)} stores with {num(SIZE.zone_stores * HELD)} copies, "
+        f"{num(SIZE.zone_gateways)} gateways with {num(SIZE.requests / SIZE.zones)} requests/s",
+        "stores as one machine each, all at once; gateways by clients and the front",
+        _whole(HELD),
+        _told_lists(SIZE.zone_stores),
+        "changes of the list",
+        MEMBERS,
+    ),
+    Failure(
+        "a zone: what the other two of its region take over",
+        f"at most {num(SIZE.zones_a_year)} a year",
+        "nothing further while they carry it",
+        "by their own clients' requests",
+        Figure("", lambda size: Worked(float("nan"), "until the zone is back; not worked out")),
+        Figure(
+            "requests/s at each gateway",
+            lambda size: Worked(
+                size.requests / size.zones / (2 * size.zone_gateways),
+                f"{num(size.requests / size.zones)}/s ÷ 2 zones of {num(size.zone_gateways)} gateways, "
+                f"over the {num(size.asked)}/s they have",
+            ),
+        ),
+        "requests more",
+        Mechanism("spare room in each zone, planned and watched"),
+    ),
+    Failure(
+        "a region cut off for an hour: the cut",
+        "now and then",
+        f"news at {num(SIZE.region_gateways)} gateways: {num(SIZE.purges * SIZE.cut)} purges and "
+        f"{num(SIZE.changes * SIZE.cut)} changes of configuration; own copies rest",
+        f"by each gateway: a poll fails after {num(NOTICED)} s",
+        Figure(
+            "s",
+            lambda size: Worked(calls.DEAF_AFTER / SECOND, "own copies rest so long after the last news"),
+            allowed=SIZE.purge_in,
+        ),
+        Figure(
+            "requests/s to stores more",
+            lambda size: Worked(
+                size.asked * size.region_gateways,
+                f"{num(size.asked)}/s × {num(size.region_gateways)} gateways, at most",
+            ),
+        ),
+        "own copies that rest",
+        Mechanism("news inside a region that is cut off, from a log of its own"),
+    ),
+    Failure(
+        "a region cut off for an hour: its return, told event by event",
+        "now and then",
+        "nothing more; what was purged meanwhile is not served until it is told",
+        "the first answer of the log",
+        Figure("s", _missed, allowed=SIZE.purge_in),
+        Figure(
+            "GB",
+            lambda size: Worked(
+                size.region_gateways * size.purges * size.cut * EVENT / 1e9,
+                f"{num(size.region_gateways)} gateways × {num(size.purges * size.cut)} × {num(EVENT)} bytes",
+            ),
+        ),
+        "to the region, plain",
+        POLLER,
+    ),
+    Failure(
+        "a region cut off for an hour: its return, by a whole page",
+        "now and then",
+        "all own copies; every store's copies bear an age limit for a while",
+        "the first answer of a relay whose ring no longer reaches back",
+        Figure("s", _whole_page, (LISTED,), SIZE.purge_in),
+        Figure("MB", _whole_pages, (LISTED,)),
+        "to the region",
+        RELAY,
+    ),
+    Failure(
+        "a control machine",
+        "as other machines",
+        f"news at {num(SIZE.followers)} gateways until they follow another",
+        f"at once where the connection is reset; else a poll fails after {num(NOTICED)} s",
+        Figure(
+            "ms",
+            lambda size, delay: Worked(delay.at(size.followers), f"{num(size.followers)} followers move"),
+            (Need("relay.changeover", "delay_p100_ms"),),
+            1e3 * SIZE.purge_in,
+        ),
+        Figure("followers more at each other", _moved),
+        "changing over",
+        RELAY,
+    ),
+    Failure(
+        "the change log itself",
+        "not told",
+        "all news everywhere; own copies rest at all gateways",
+        f"by each follower: a poll fails after {num(NOTICED)} s",
+        Figure(
+            "s",
+            lambda size: Worked(calls.DEAF_AFTER / SECOND, "own copies rest; news come when the log is back"),
+        ),
+        Figure("requests/s to stores more", lambda size: Worked(size.requests, "all requests, at most")),
+        "own copies that rest",
+        Mechanism("a second log with the same numbers"),
+    ),
+    Failure(
+        "all gateways of a site at once: they stop",
+        "not told",
+        f"{num(SIZE.site)} gateways with {num(SIZE.site * SIZE.asked)} requests/s",
+        "by clients and the front ahead of them",
+        Figure("s", _ready, (READY,)),
+        Figure("MB", _site_bytes, (STARTED,)),
+        "starts",
+        START,
+    ),
+    Failure(
+        "all gateways of a site at once: they come back",
+        "not told",
+        "own copies and what each believed of the stores",
+        "by the stores: connections anew, from empty",
+        Figure("s", _ready, (READY,)),
+        Figure(
+            "connections opened",
+            lambda size: Worked(size.site * LINKS, f"{num(size.site)} × {num(LINKS)} at most"),
+        ),
+        "at stores",
+        START,
+    ),
+    Failure(
+        "a change of configuration that is wrong, told to all",
+        f"{num(SIZE.changes_a_day)} changes a day, not told how many are wrong",
+        "whatever it breaks, everywhere within seconds",
+        "a file that can't be used changes nothing and is a line in each gateway's own log",
+        Figure("s", lambda size, of: Worked(of.at(size.gateways), f"{num(size.gateways)} gateways"),
+               (Need("configuration.gateways", "in_force_s"),), SIZE.change_in),
+        Figure("", lambda size: Worked(float("nan"), "not worked out")),
+        "taking it back",
+        Mechanism("a change tried at few gateways first, and taken back by itself"),
+    ),
+)  # fmt: skip
+
+
+def failure_line(one: Failure, size: Size, slopes: Slopes) -> list[str]:
+    """The cells of the table; the verdict is that of the time until all is whole."""
+    until, used = one.until.worked(size, slopes)
+    cost, also = one.cost.worked(size, slopes)
+    verdict = one.until.verdict(until.value) if one.mechanism.there else "**missing**"
+    return [
+        one.name,
+        one.often,
+        one.lost,
+        one.noticed,
+        _said(until, one.until),
+        _said(cost, one.cost) + f" ({one.cost_of})",
+        sources([*used, *also]),
+        one.until.bound(),
+        verdict,
+        str(one.mechanism),
+    ]
+
+
+def _said(came: Worked, figure: Figure) -> str:
+    result = "not measured" if came.value != came.value else amount(came.value, figure.unit)
+    return f"{came.text} = {result}" if came.text else result
