--- /dev/null
+++ b/hallproxy/lab/capacity/program.py
@@ -0,0 +1,45 @@
+"""What the rows take from the program itself: its bounds, and its mechanisms with their files."""
+
+from hallproxy.interface import RequestClass, Settings
+from hallproxy.lab.capacity.rows import Mechanism
+from hallproxy.run import changelog, main
+from hallproxy.run.config import Config
+from hallproxy.state import calls
+from hallproxy.wire.changelog import poll_head
+
+SECOND = 1_000_000_000  # ns
+PART_KB = 240.0
+"""KB (1,000 bytes) of an object's largest part (docs/architecture.md, whole answers)."""
+MEMORY_MB, SOCKETS = 192, 1_024
+"""A gateway's limits where its configuration names none (`run/config.py`)."""
+_SETTINGS = Settings(
+    (RequestClass(SECOND, SECOND),), 0, (0,), 1, 2, 1.0, 0, 1.0, SECOND, 0, 0
+)  # nothing of them is asked for but when stores close idle connections: never told
+BOUNDS = main.bounds(Config("", ("", 0), 0, MEMORY_MB, SOCKETS, None, 0, 0, {}, _SETTINGS))
+"""What it may hold with them, on a machine that allows a process as many descriptors."""
+GATHER = 0.25
+"""s that a relay waits for more events before it cuts a page (`gather_ms` where its file does not say)."""
+CALM = 0.1
+"""s that a request is taken to be open, as nobody told; what grows with it is said for each 0.1 s."""
+DEAF_IN = calls.DEAF_AFTER / SECOND
+"""s without news after which own copies rest."""
+POLL = len(poll_head(10**9, changelog.WAIT, "10.100.100.100:4222"))
+"""Bytes of a poll's request, its number a billion."""
+
+FRAMES = Mechanism("answers in frames, a part at a time", "hallproxy/wire/frames.py")
+ONE_LOOP = Mechanism("one process on one event loop", "hallproxy/run/loop.py")
+PROCESSES = Mechanism("several gateway processes on a machine that share its port, list and news")
+MODULE = Mechanism("the decision module", "hallproxy/logic.py")
+LIMITS = Mechanism("parts of the configuration's limits", "hallproxy/run/main.py")
+COPIES = Mechanism("own copies", "hallproxy/state/copies.py")
+POLLER = Mechanism("one long poll after another", "hallproxy/run/changelog.py")
+RELAY = Mechanism("relays that gather, code once and pass on", "hallproxy/relay/__init__.py")
+PURGES = Mechanism("the table of purges", "hallproxy/state/purges.py")
+MEMBERS = Mechanism("the list, changed in place", "hallproxy/state/members.py")
+DEAF = Mechanism("own copies rest without news", "hallproxy/state/calls.py")
+LINKED = Mechanism("connections kept and closed by the reducer", "hallproxy/state/links.py")
+CONFIGURATION = Mechanism("a file and SIGHUP on each machine; nothing carries a change to all of them")
+REPORTS = Mechanism("nothing sends use, health or versions in force; `hallproxy usage` asks one gateway")
+FRONT = Mechanism("the package repositories' front", "hallproxy/repository/front.py")
+DRAIN = Mechanism("answers what is open, then ends", "hallproxy/run/main.py")
+START = Mechanism("listens behind the change log's first answer", "hallproxy/run/main.py")
