Followers in four processes of at most a hundred gateways; the delay ahead of a kill is what all held

Two processes of 200 hollow gateways each told in pages filled up on the loaded machine, and purges were held by all only after 6 to 11 s: the measurement's own crowd, not the relay's. What counts as ahead of the kill was guessed from the gathering time; now it is what all followers held when it came.

--- a/hallproxy/lab/capacity/logs.py
+++ b/hallproxy/lab/capacity/logs.py
@@ -1,7 +1,8 @@
 """What a change log carries when all gateways ask it themselves, without a tier between.
 
-So many followers as two processes carry are hollow gateways; the rest of them poll and count alone, as their
-own work would fill the machine that is to show the log's. A log that is full shows as delay.
+So many followers as four processes carry well are hollow gateways; the rest of them poll and count alone, as
+their own work would fill the machine that is to show the log's. A log that is full shows as delay. So does a
+process of followers that is: `fullest_process` tells whether the delay may be its own.
 """
 
 from __future__ import annotations
@@ -18,9 +19,10 @@
 
 MEMBERS = 150  # stores on the list: what purges cost does not depend on it
 MEMBERS_TINY = 20
-HOLLOW_MOST = 60  # hollow gateways that two processes carry when told one by one
-HOLLOW_MOST_PAGES = 400  # ...and when told in pages
-PROCESSES = 4
+HOLLOW_MOST = 60  # hollow gateways that four processes carry when told one by one
+HOLLOW_MOST_PAGES = 400  # ...and when told in pages: 200 in one have filled it, and held purges for seconds
+PROCESSES = 4  # of hollow gateways
+LIGHT_EACH = 800  # light followers in a process
 DRAIN = 15.0  # s in which all that was told must be held
 HOUR_US = 3_600 * 1_000_000
 
@@ -42,7 +44,7 @@
         *words: object,
         parts: int = 0,
     ) -> None:
-        """`count` of them in all, up to `hollow` of them gateways, in so many processes of those.
+        """`count` of them in all, up to `hollow` of them gateways, in `parts` processes of each kind.
 
         Each process follows one of the addresses, which take turns.
         """
@@ -52,7 +54,8 @@
         self.before: list[dict[str, Any]] = []
         kinds = [(min(count, hollow), False), (max(0, count - hollow), True)]
         for followers, light in kinds:
-            processes = 1 if light else parts or (1 if run.tiny else PROCESSES // 2)
+            fitting = 1 + followers // LIGHT_EACH if light else 1 if run.tiny else PROCESSES
+            processes = parts or fitting
             for part in range(processes):
                 size = followers // processes + (part < followers % processes)
                 if size:
@@ -66,13 +69,14 @@
     def begin(self) -> None:
         self.before = [child.ask("report") for child, _, _ in self.children]
 
+    def least(self) -> int:
+        """How many purges every one of them holds."""
+        return min(int(child.ask("least")["least"]) for child, _, _ in self.children)
+
     def hold(self, count: int) -> list[dict[str, Any]]:
         """Wait until each holds so many purges; what each process then tells."""
 
-        def held() -> bool:
-            return all(child.ask("least")["least"] >= count for child, _, _ in self.children)
-
-        until(held, f"{count} purges at {self.count} followers", DRAIN)
+        until(lambda: self.least() >= count, f"{count} purges at {self.count} followers", DRAIN)
         reports = [child.ask("report") for child, _, _ in self.children]
         for report, (child, size, _) in zip(reports, self.children, strict=True):
             all_held(report, size, count)
@@ -110,6 +114,7 @@
         }
 
 
+FULLEST = Quantity("fullest_process", "% of a core, of the followers' processes", fitted=False)
 FOLLOWER_QUANTITIES = (
     Quantity("delay_p50_ms", "ms", fitted=False),
     Quantity("delay_p99_ms", "ms", fitted=False),
@@ -117,7 +122,7 @@
     Quantity("follower_core_share", "%", fitted=False),
     Quantity("follower_bytes_per_s", "B/s", fitted=False),
     Quantity("follower_memory_mb", "MB", fitted=False),
-    Quantity("fullest_process", "% of a core, of the followers' processes", fitted=False),
+    FULLEST,
 )
 LOG_QUANTITIES = (
     Quantity("core_share", "%"),
--- a/hallproxy/lab/capacity/relay.py
+++ b/hallproxy/lab/capacity/relay.py
@@ -16,6 +16,7 @@
 from hallproxy.lab.capacity.control import CORE, RATE, all_held, gateway, hollow, require
 from hallproxy.lab.capacity.logs import (
     FOLLOWER_QUANTITIES,
+    FULLEST,
     HOLLOW_MOST_PAGES,
     MEMBERS,
     MEMBERS_TINY,
@@ -29,7 +30,8 @@
 GATHER_TINY = 50
 OTHERWISE = "whole", "behind", "bad", "turned_away"  # answers that nobody is to get
 BURST = 100  # ms in which connects are counted together
-TIER_FOLLOWERS = 200  # of each relay below the top
+TIER_FOLLOWERS = 200  # of each relay below the top, ...
+TIER_HOLLOW = 100  # ...so many of them hollow gateways
 CHANGEOVER_FOLLOWERS = 400  # of all relays
 
 
@@ -163,13 +165,14 @@
     ),
 )
 def tiers(size: float, run: Run) -> Measured:
-    below, each = int(size), 2 if run.tiny else TIER_FOLLOWERS
+    below = int(size)
+    each, gateways = (2, 1) if run.tiny else (TIER_FOLLOWERS, TIER_HOLLOW)
     with ExitStack() as stack:
         log = log_of(run, stack)
         top = Relay(run, stack, "top", [log.told["address"]], gather_of(run)).ready()
         relays = ready([Relay(run, stack, f"below-{n}", [top.address], 0) for n in range(below)])
         addresses = [relay.address for relay in relays]
-        asking = Followers(run, stack, addresses, each * below, each * below, "--gzip", parts=below)
+        asking = Followers(run, stack, addresses, each * below, gateways * below, "--gzip", parts=below)
         for relay in (top, *relays):
             relay.begin()
         reports, took = told(log, asking, run)
@@ -209,9 +212,11 @@
     quantities=(
         Quantity("moved", "followers of the one killed", fitted=False),
         Quantity("delay_p100_ms", "ms until a purge was held by all", fitted=False),
-        Quantity("before_ms", "the same, of those ahead of the kill", fitted=False),
+        Quantity("before_ms", "the same, of those held by all ahead of the kill", fitted=False),
+        Quantity("connects", "to the others, from the kill on", fitted=False),
         Quantity("connects_burst", "in 100 ms at one of the others, at most", fitted=False),
         Quantity("moved_ms", "ms from the kill to the last connect", fitted=False),
+        FULLEST,
     ),
 )
 def changeover(size: float, run: Run) -> Measured:
@@ -233,26 +238,27 @@
         killed = max(relays, key=lambda relay: int(relay.status()["followers"]))
         moved = killed.status()["followers"]
         others = [relay for relay in relays if relay is not killed]
+        began = time.monotonic()
         log.command("purge", rate=RATE, count=count)
         time.sleep(seconds(run))
-        ahead = log.ask("report")["purges"]
+        ahead = asking.least()
         at = time.time_ns() // 1_000_000
         killed.program.kill()
-        reports = asking.hold(count)
+        reports, took = asking.hold(count), time.monotonic() - began
         until(lambda: sum(relay.status()["followers"] for relay in others) == many, "all followers elsewhere")
         connects = asking.connects()
         ports = {int(relay.address.rpartition(":")[2]) for relay in others}
         again = [when for when, port in connects if when >= at and port in ports]
         require(len(again) >= moved, f"{len(again)} connects of {moved} followers that lost their relay")
         delays = [max(all_of) / 1000 for all_of in zip(*(r["delay_us"] for r in reports), strict=True)]
-        # Those of the last moment ahead of the kill had not been told yet.
-        quiet = max(1, ahead - round(RATE * 2 * gather_of(run) / 1000))
         return {
             "moved": float(moved),
             "delay_p100_ms": max(delays),
-            "before_ms": max(delays[:quiet]),
+            "before_ms": max(delays[:ahead], default=0.0),
+            "connects": float(len(again)),
             "connects_burst": float(burst(connects, at, ports)),
             "moved_ms": float(max(again) - at),
+            "fullest_process": asking.figures(reports, took)["fullest_process"],
         }
 
 
--- a/tests/test_capacity_control.py
+++ b/tests/test_capacity_control.py
@@ -322,13 +322,15 @@
         above = [log.told["address"]]
         relays = relay.ready([relay.Relay(run, stack, f"r-{n}", above, 20) for n in range(2)])
         asking = logs.Followers(run, stack, [r.address for r in relays], 6, 4, "--gzip", parts=2)
-        assert [(size, real) for _, size, real in asking.children] == [(2, True), (2, True), (2, False)]
+        assert [(size, real) for _, size, real in asking.children] == [
+            (2, True), (2, True), (1, False), (1, False),
+        ]  # fmt: skip
         asking.begin()
         log.command("purge", rate=1_000, count=30)
         reports = asking.hold(30)
         figures = asking.figures(reports, 1.0)
         assert 0 < (figures["delay_p50_ms"] or 0) <= (figures["delay_p100_ms"] or 0)
-        assert sorted(r.status()["followers"] for r in relays) == [2, 4]
+        assert sorted(r.status()["followers"] for r in relays) == [3, 3]
         relay.plain_only(relays)
         assert {at for _, at in asking.connects()} == {int(r.address.split(":")[1]) for r in relays}
         reports[0]["held"][7] -= 1
