--- a/hallproxy/lab/capacity/logs.py
+++ b/hallproxy/lab/capacity/logs.py
@@ -114,6 +114,7 @@
         }
 
 
+LATE = Quantity("late_ms", "ms that a purge came into being late", fitted=False)
 FULLEST = Quantity("fullest_process", "% of a core, of the followers' processes", fitted=False)
 FOLLOWER_QUANTITIES = (
     Quantity("delay_p50_ms", "ms", fitted=False),
@@ -130,7 +131,7 @@
     Quantity("polls_per_s", "/s"),
     Quantity("bytes_per_s", "B/s"),
     Quantity("events_per_page", "", fitted=False),
-    Quantity("late_ms", "ms that an event came into being late", fitted=False),
+    LATE,
     Quantity("reconnects", "of followers that had no answer in time", fitted=False),
 )
 
--- a/hallproxy/lab/capacity/relay.py
+++ b/hallproxy/lab/capacity/relay.py
@@ -18,6 +18,7 @@
     FOLLOWER_QUANTITIES,
     FULLEST,
     HOLLOW_MOST_PAGES,
+    LATE,
     MEMBERS,
     MEMBERS_TINY,
     Followers,
@@ -122,6 +123,7 @@
         Quantity("polls_per_s", "/s"),
         Quantity("bytes_per_s", "B/s"),
         Quantity("confirmed_p99_ms", "ms", fitted=False),
+        LATE,
         *FOLLOWER_QUANTITIES,
     ),
 )
@@ -146,6 +148,7 @@
             "polls_per_s": answers["polls"] / took,
             "bytes_per_s": answers["bytes"] / took,
             "confirmed_p99_ms": float(status["confirmed_ms"]["p99"]),
+            "late_ms": log.ask("report")["late_ms"],
             **asking.figures(reports, took),
         }
 
@@ -161,12 +164,13 @@
         Quantity("core_share", "% of each relay below", fitted=False),
         Quantity("core_share_top", "%"),
         Quantity("memory_mb", "MB of a relay below", fitted=False),
+        LATE,
         *FOLLOWER_QUANTITIES,
     ),
 )
 def tiers(size: float, run: Run) -> Measured:
     below = int(size)
-    each, gateways = (2, 1) if run.tiny else (TIER_FOLLOWERS, TIER_HOLLOW)
+    each, gateways = (2, 2) if run.tiny else (TIER_FOLLOWERS, TIER_HOLLOW)
     with ExitStack() as stack:
         log = log_of(run, stack)
         top = Relay(run, stack, "top", [log.told["address"]], gather_of(run)).ready()
@@ -185,6 +189,7 @@
             "core_share": sum(shares[1:]) / below,
             "core_share_top": shares[0],
             "memory_mb": max(relay.memory for relay in relays),
+            "late_ms": log.ask("report")["late_ms"],
             **asking.figures(reports, took),
         }
 
@@ -216,6 +221,7 @@
         Quantity("connects", "to the others, from the kill on", fitted=False),
         Quantity("connects_burst", "in 100 ms at one of the others, at most", fitted=False),
         Quantity("moved_ms", "ms from the kill to the last connect", fitted=False),
+        LATE,
         FULLEST,
     ),
 )
@@ -258,6 +264,7 @@
             "connects": float(len(again)),
             "connects_burst": float(burst(connects, at, ports)),
             "moved_ms": float(max(again) - at),
+            "late_ms": log.ask("report")["late_ms"],
             "fullest_process": asking.figures(reports, took)["fullest_process"],
         }
 
