Capacity: each row says whether it is state, messages, processor time, memory or time

The operators ask for all four of each role: a test holds that every role has them; start, decisions and the second front lacked some.

--- a/hallproxy/lab/capacity/failures.py
+++ b/hallproxy/lab/capacity/failures.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from hallproxy.lab.capacity import program
-from hallproxy.lab.capacity.roles import READY, STARTED, TOGETHER
+from hallproxy.lab.capacity.gateway_rows import READY, STARTED, TOGETHER
 from hallproxy.lab.capacity.rows import Figure, Mechanism, Need, Slope, Slopes, Worked, amount, num, sources
 from hallproxy.lab.capacity.size import SIZE, Size
 from hallproxy.run import changelog, main
--- /dev/null
+++ b/hallproxy/lab/capacity/gateway_rows.py
@@ -0,0 +1,448 @@
+"""Rows of the gateway's own work: serving, decisions, start, and the second front."""
+
+from hallproxy import logic
+from hallproxy.lab.capacity import program
+from hallproxy.lab.capacity.control_rows import purges_single
+from hallproxy.lab.capacity.rows import Figure, Mechanism, Need, Row, Slope, Worked, num, told
+from hallproxy.lab.capacity.size import SIZE, Size
+from hallproxy.repository.front import FORMS_MOST
+from hallproxy.run import changelog, main
+from hallproxy.wire.frames import LONGEST
+
+
+def _decisions(size: Size, decision: Slope) -> Worked:
+    us = decision.at(size.stores)
+    text = f"{num(program.PARTS)} parts/s × {num(us)} µs among {num(size.stores)} members"
+    return Worked(program.PARTS * us / 1e6, text)
+
+
+def _bodies(size: Size, body: Slope) -> Worked:
+    us = body.at(program.PART_KB)
+    return Worked(
+        program.PARTS * us / 1e6, f"{num(program.PARTS)} parts/s × {num(us)} µs for {num(program.PART_KB)} KB"
+    )
+
+
+def _core_bytes(size: Size, body: Slope) -> Worked:
+    us = body.at(program.PART_KB)
+    return Worked(program.PART_KB * 1e3 / us, f"{num(program.PART_KB)} KB ÷ {num(us)} µs of a core")
+
+
+def _rate(size: Size, core: Slope) -> Worked:
+    return Worked(core.cores(size.asked), f"measured by rate, at {num(size.asked)}/s")
+
+
+def _serving(size: Size, decision: Slope, body: Slope) -> Worked:
+    each = decision.at(size.stores), body.at(program.PART_KB)
+    text = f"{num(program.PARTS)} parts/s × ({num(each[0])} + {num(each[1])}) µs, each a core's"
+    return Worked(program.PARTS * sum(each) / 1e6, text)
+
+
+def _fleet_cores(size: Size, decision: Slope, body: Slope) -> Worked:
+    cores = _serving(size, decision, body).value
+    return Worked(size.gateways * cores, f"{num(size.gateways)} gateways × {num(cores)} cores")
+
+
+DECISION = Need("decisions.members", "decision_us")
+BODY = Need("serving.body", "core_us")
+
+SERVING = (
+    Row(
+        "serving",
+        "messages",
+        "requests a second",
+        Figure("/s", told(SIZE.asked, f"{num(SIZE.requests)}/s ÷ {num(SIZE.gateways)} gateways")),
+        program.ONE_LOOP,
+    ),
+    Row(
+        "serving",
+        "messages",
+        "body of a request in one frame, mean",
+        Figure(
+            "KB",
+            told(SIZE.body_kb, f"{num(SIZE.bits)} bit/s ÷ 8 ÷ {num(SIZE.requests)}/s"),
+            allowed=LONGEST / 1e3,
+        ),
+        program.FRAMES,
+    ),
+    Row(
+        "serving",
+        "messages",
+        "parts a second, if bodies come in the largest parts",
+        Figure(
+            "/s",
+            told(program.PARTS, f"{num(SIZE.asked)}/s × {num(SIZE.body_kb)} KB ÷ {num(program.PART_KB)} KB"),
+        ),
+        program.FRAMES,
+    ),
+    Row(
+        "serving",
+        "messages",
+        "bytes a second to clients",
+        Figure("MB/s", told(SIZE.sent_mb, f"{num(SIZE.bits)} bit/s ÷ 8 ÷ {num(SIZE.gateways)} gateways")),
+        program.ONE_LOOP,
+    ),
+    Row(
+        "serving",
+        "processor",
+        "bytes of bodies by one core",
+        Figure("MB/s", _core_bytes, (BODY,), SIZE.sent_mb, True),
+        program.ONE_LOOP,
+    ),
+    Row(
+        "serving",
+        "processor",
+        "processor time of decisions",
+        Figure("cores", _decisions, (DECISION,), 1.0),
+        program.MODULE,
+    ),
+    Row(
+        "serving",
+        "processor",
+        "processor time of bodies",
+        Figure("cores", _bodies, (BODY,), 1.0),
+        program.ONE_LOOP,
+    ),
+    Row(
+        "serving",
+        "processor",
+        "processor time of as many requests of 1 KB",
+        Figure("cores", _rate, (Need("serving.rate", "core_percent"),), 1.0),
+        program.ONE_LOOP,
+    ),
+    Row(
+        "serving",
+        "processor",
+        "processor time of both",
+        Figure("cores", _serving, (DECISION, BODY), 1.0),
+        program.PROCESSES,
+    ),
+    Row(
+        "serving",
+        "processor",
+        "cores of all gateways for that",
+        Figure("cores", _fleet_cores, (DECISION, BODY)),
+        program.PROCESSES,
+    ),
+    Row(
+        "serving",
+        "state",
+        "requests open at once, for each 0.1 s one is",
+        Figure(
+            "",
+            told(program.PARTS * program.CALM, f"{num(program.PARTS)}/s × {num(program.CALM)} s"),
+            allowed=program.BOUNDS.calls,
+        ),
+        program.LIMITS,
+    ),
+    Row(
+        "serving",
+        "memory",
+        "bodies held at once, for each 0.1 s one is",
+        Figure(
+            "MB",
+            told(
+                SIZE.sent_mb * program.CALM,
+                f"{num(SIZE.sent_mb)} MB/s × {num(program.CALM)} s; "
+                f"allowed: a gateway's with {num(program.MEMORY_MB)} MB",
+            ),
+            allowed=program.BOUNDS.bodies / 1e6,
+        ),
+        program.LIMITS,
+    ),
+    Row(
+        "serving",
+        "state",
+        "own copies held, of mean size",
+        Figure(
+            "",
+            told(
+                program.BOUNDS.copies / 1e3 / SIZE.body_kb,
+                f"{num(program.BOUNDS.copies / 1e6)} MB ÷ {num(SIZE.body_kb)} KB, of "
+                f"{num(SIZE.objects)} objects",
+            ),
+        ),
+        program.COPIES,
+    ),
+)
+
+
+def _decision(size: Size, decision: Slope) -> Worked:
+    return Worked(
+        decision.at(size.stores), f"{num(size.stores)} members; allowed: 1 s ÷ {num(program.PARTS)} parts"
+    )
+
+
+DECISIONS = (
+    Row(
+        "decision",
+        "messages",
+        "events a second, a request's and its outcome's at the least",
+        Figure("/s", told(2 * program.PARTS, f"2 × {num(program.PARTS)} parts/s")),
+        program.MODULE,
+    ),
+    Row(
+        "decision",
+        "processor",
+        "a decision, by members",
+        Figure("µs", _decision, (DECISION,), 1e6 / program.PARTS),
+        program.MODULE,
+    ),
+    Row(
+        "decision",
+        "processor",
+        "a decision, by zones",
+        Figure(
+            "µs",
+            lambda size, of: Worked(of.at(size.zones), f"{num(size.zones)} zones"),
+            (Need("decisions.zones", "decision_us"),),
+            1e6 / program.PARTS,
+        ),
+        program.MODULE,
+    ),
+    Row(
+        "decision",
+        "processor",
+        "a decision, by objects counted",
+        Figure(
+            "µs",
+            lambda size, of: Worked(of.at(logic.COUNTS_MAX), f"{num(logic.COUNTS_MAX)}, the most counted"),
+            (Need("decisions.objects", "decision_us"),),
+            1e6 / program.PARTS,
+        ),
+        program.MODULE,
+    ),
+    Row(
+        "decision",
+        "memory",
+        "memory, by members",
+        Figure(
+            "KB",
+            lambda size, of: Worked(of.at(size.stores), f"{num(size.stores)} members"),
+            (Need("decisions.members", "memory_kb"),),
+        ),
+        program.MODULE,
+    ),
+    Row(
+        "decision",
+        "memory",
+        "memory, by zones",
+        Figure(
+            "KB",
+            lambda size, of: Worked(of.at(size.zones), f"{num(size.zones)} zones"),
+            (Need("decisions.zones", "memory_kb"),),
+        ),
+        program.MODULE,
+    ),
+    Row(
+        "decision",
+        "memory",
+        "memory, by objects counted",
+        Figure(
+            "KB",
+            lambda size, of: Worked(of.at(logic.COUNTS_MAX), f"{num(logic.COUNTS_MAX)} objects"),
+            (Need("decisions.objects", "memory_kb"),),
+        ),
+        program.MODULE,
+    ),
+    Row(
+        "decision",
+        "state",
+        "objects that a gateway hears of in 10 s, were each asked for once",
+        Figure(
+            "",
+            told(
+                SIZE.asked * logic.AGE_EVERY / program.SECOND,
+                f"{num(SIZE.asked)}/s × {num(logic.AGE_EVERY / program.SECOND)} s; counts are halved then",
+            ),
+            allowed=logic.COUNTS_MAX,
+        ),
+        program.MODULE,
+    ),
+    Row(
+        "decision",
+        "state",
+        "of all objects, those that a gateway can have counted",
+        Figure(
+            "in a million",
+            told(1e6 * logic.COUNTS_MAX / SIZE.objects, f"{num(logic.COUNTS_MAX)} ÷ {num(SIZE.objects)}"),
+        ),
+        program.MODULE,
+    ),
+)
+
+
+def _ready(size: Size, ready: Slope) -> Worked:
+    return Worked(ready.at(size.stores), f"{num(size.stores)} members in the configuration's list")
+
+
+def _start_core(size: Size, core: Slope) -> Worked:
+    ms = core.at(size.stores)
+    text = f"{num(size.restarted_a_day)} starts a day × {num(ms)} ms"
+    return Worked(size.restarted_a_day * ms / 1e3, text)
+
+
+def _start_kb(size: Size, known: Slope, poll: Slope) -> Worked:
+    kb = known.at(size.stores), poll.at(size.stores)
+    text = f"{num(kb[0])} KB that its configuration knows + {num(kb[1])} KB of the first poll"
+    return Worked(sum(kb), text)
+
+
+def _start_seconds(size: Size, known: Slope, poll: Slope) -> Worked:
+    kb = _start_kb(size, known, poll).value
+    return Worked(1e3 * kb / size.control_bytes, f"{num(kb)} KB ÷ {num(size.control_bytes)} bytes/s")
+
+
+def _together(size: Size, slowest: Slope) -> Worked:
+    return Worked(slowest.at(size.site), f"{num(size.site)} gateways of a site on the cores of one machine")
+
+
+def _roll(size: Size, ready: Slope) -> Worked:
+    ms, at_once = ready.at(size.stores), size.gateways / 100
+    text = f"100 steps of {num(at_once)} gateways × ({num(main.QUIET_MOST)} s of drain + {num(ms)} ms)"
+    return Worked(100 * (main.QUIET_MOST + ms / 1e3) / 60, text)
+
+
+READY = Need("starts.members", "ready_ms")
+STARTED = Need("starts.members", "known_kb"), Need("starts.members", "poll_kb")
+TOGETHER = Need("starts.together", "slowest_ms")
+
+STARTS = (
+    Row(
+        "start",
+        "state",
+        "own copies that a restart drops, at most",
+        Figure("MB", told(program.BOUNDS.copies / 1e6, "the program's own bound")),
+        program.COPIES,
+    ),
+    Row(
+        "start",
+        "memory",
+        "the most while it starts",
+        Figure(
+            "MB",
+            lambda size, peak: Worked(peak.at(size.stores), f"{num(size.stores)} members"),
+            (Need("starts.members", "peak_mb"),),
+        ),
+        program.START,
+    ),
+    Row(
+        "start",
+        "messages",
+        "starts and restarts, if all were gateways: one every",
+        Figure("s", told(86_400 / SIZE.restarted_a_day, f"86,400 s ÷ {num(SIZE.restarted_a_day)}")),
+        program.START,
+    ),
+    Row(
+        "start",
+        "time",
+        "from the process's start until it listens",
+        Figure("ms", _ready, (READY,)),
+        program.START,
+    ),
+    Row(
+        "start",
+        "time",
+        "the same where the log does not answer: at most so much more",
+        Figure("s", told(changelog.CURRENT_IN, "the program's own bound")),
+        program.START,
+    ),
+    Row(
+        "start",
+        "processor",
+        "processor time of a day's starts",
+        Figure("s", _start_core, (Need("starts.members", "core_ms"),)),
+        program.START,
+    ),
+    Row(
+        "start",
+        "time",
+        "the same of all gateways of a site at once: the slowest",
+        Figure("ms", _together, (TOGETHER,)),
+        program.START,
+    ),
+    Row("start", "messages", "bytes that a start takes", Figure("KB", _start_kb, STARTED), program.START),
+    Row(
+        "start",
+        "messages",
+        "seconds of what control may send that one start uses up",
+        Figure("s", _start_seconds, STARTED),
+        program.START,
+    ),
+    Row(
+        "start",
+        "time",
+        "a planned stop: the longest until its last answer, classes' deadlines aside",
+        Figure("s", told(main.QUIET_MOST, "the program's own bound")),
+        program.DRAIN,
+    ),
+    Row(
+        "start",
+        "time",
+        "all gateways restarted, a hundredth at a time",
+        Figure("min", _roll, (READY,)),
+        Mechanism("a roll-out over the fleet that waits for each step"),
+    ),
+)
+
+
+def _front_rate(size: Size, core: Slope) -> Worked:
+    us = core.each
+    return Worked(1e6 / us, f"1 s ÷ {num(us)} µs for each request")
+
+
+SECOND_FRONT = (
+    Row(
+        "second",
+        "state",
+        "indexes kept in the forms they were served in, at most",
+        Figure("MB", told(FORMS_MOST / 1e6, "the program's own bound")),
+        program.FRONT,
+    ),
+    Row(
+        "second",
+        "messages",
+        "purges a second that each front hears of",
+        Figure("/s", told(SIZE.purges, "as a gateway")),
+        program.POLLER,
+    ),
+    Row(
+        "second",
+        "processor",
+        "requests of one core, indexes from memory",
+        Figure("/s", _front_rate, (Need("second.requests", "core_us"),)),
+        program.FRONT,
+    ),
+    Row(
+        "second",
+        "processor",
+        "gateways' worth of requests on it, were all of them indexes",
+        Figure(
+            "cores",
+            lambda size, core: Worked(
+                size.asked * core.each / 1e6, f"{num(size.asked)}/s × {num(core.each)} µs"
+            ),
+            (Need("second.requests", "core_us"),),
+            1.0,
+        ),
+        program.FRONT,
+    ),
+    Row(
+        "second",
+        "memory",
+        "memory of 10,000 projects",
+        Figure(
+            "MB",
+            lambda size, memory: Worked(memory.at(10_000) / 1e3, "10,000 projects, by projects known"),
+            (Need("second.projects", "memory_kb"),),
+        ),
+        program.FRONT,
+    ),
+    Row(
+        "second",
+        "processor",
+        "purges, one event a page: as the gateway's control",
+        Figure("cores", purges_single, (Need("control.purge_rate", "core_share"),), SIZE.control_core),
+        program.POLLER,
+    ),
+)
--- a/hallproxy/lab/capacity/page.py
+++ b/hallproxy/lab/capacity/page.py
@@ -143,7 +143,7 @@
 
 
 def _role(role: str) -> Callable[[Slopes], list[str]]:
-    head = ("quantity", "arithmetic", "slope", "result", "allowed", "verdict", "mechanism")
+    head = ("kind", "quantity", "arithmetic", "slope", "result", "allowed", "verdict", "mechanism")
     return lambda of: table(head, [row_line(row, SIZE, of) for row in ROWS if row.role == role])
 
 
@@ -158,7 +158,7 @@
     kinds = ("carried", "**not carried**", "**missing**", "not measured", "no bound told")
     lines = []
     for role, title in ROLES.items():
-        said = [row_line(row, SIZE, of)[5] for row in ROWS if row.role == role]
+        said = [row_line(row, SIZE, of)[6] for row in ROWS if row.role == role]
         lines.append([title, *(str(said.count(kind)) for kind in kinds)])
     said = [failure_line(one, SIZE, of)[8] for one in FAILURES]
     lines.append(["Failures", *(str(said.count(kind)) for kind in kinds)])
--- a/hallproxy/lab/capacity/program.py
+++ b/hallproxy/lab/capacity/program.py
@@ -2,6 +2,7 @@
 
 from hallproxy.interface import RequestClass, Settings
 from hallproxy.lab.capacity.rows import Mechanism
+from hallproxy.lab.capacity.size import SIZE
 from hallproxy.run import changelog, main
 from hallproxy.run.config import Config
 from hallproxy.state import calls
@@ -17,6 +18,8 @@
 )  # nothing of them is asked for but when stores close idle connections: never told
 BOUNDS = main.bounds(Config("", ("", 0), 0, MEMORY_MB, SOCKETS, None, 0, 0, {}, _SETTINGS))
 """What it may hold with them, on a machine that allows a process as many descriptors."""
+PARTS = SIZE.asked * SIZE.body_kb / PART_KB
+"""Parts a second at one gateway, were bodies told in the largest parts there are."""
 GATHER = 0.25
 """s that a relay waits for more events before it cuts a page (`gather_ms` where its file does not say)."""
 CALM = 0.1
--- a/hallproxy/lab/capacity/rows.py
+++ b/hallproxy/lab/capacity/rows.py
@@ -134,6 +134,11 @@
 """Of the size and then a Slope for each need, in their order."""
 
 
+def told(value: float, text: str) -> Work:
+    """Arithmetic on the operators' numbers and the program's own bounds alone."""
+    return lambda size, *slopes: Worked(value, text)
+
+
 @dataclass(frozen=True)
 class Mechanism:
     """What carries a row, and the file or directory that it is in. Where that isn't there it is missing."""
@@ -180,9 +185,15 @@
         return ("at least " if self.least else "") + amount(self.allowed, self.unit)
 
 
+KINDS = ("state", "messages", "processor", "memory", "time")
+
+
 @dataclass(frozen=True)
 class Row:
+    """`kind` is one of `KINDS`; each role has rows of the first four."""
+
     role: str
+    kind: str
     quantity: str
     figure: Figure
     mechanism: Mechanism
@@ -193,7 +204,16 @@
     came, used = row.figure.worked(size, slopes)
     verdict = row.figure.verdict(came.value) if row.mechanism.there else "**missing**"
     result = "not measured" if math.isnan(came.value) else amount(came.value, row.figure.unit)
-    return [row.quantity, came.text, sources(used), result, row.figure.bound(), verdict, str(row.mechanism)]
+    return [
+        row.kind,
+        row.quantity,
+        came.text,
+        sources(used),
+        result,
+        row.figure.bound(),
+        verdict,
+        str(row.mechanism),
+    ]
 
 
 def sources(used: Iterable[Slope]) -> str:
--- /dev/null
+++ b/hallproxy/lab/capacity/store_rows.py
@@ -0,0 +1,160 @@
+"""Rows of a store: what all gateways hold open to it, and send it, also when it is cold."""
+
+from hallproxy import logic
+from hallproxy.lab.capacity import program
+from hallproxy.lab.capacity.rows import Figure, Need, Row, Slope, Worked, num, told
+from hallproxy.lab.capacity.size import SIZE, Size
+from hallproxy.run import main
+
+
+def _idle_core(size: Size, core: Slope) -> Worked:
+    return Worked(core.at(size.stores), f"{num(size.stores)} connections, one to each store")
+
+
+def _cold(size: Size, over: Slope) -> Worked:
+    return Worked(over.at(size.zone_gateways), f"{num(size.zone_gateways)} gateways of its zone ask at once")
+
+
+def _cold_parent(size: Size, over: Slope) -> Worked:
+    return Worked(
+        over.at(size.gateways), f"all {num(size.gateways)} gateways ask at once, more than any hub has"
+    )
+
+
+COLD_EXAMPLE = 100.0
+"""Calls a window that a cold store bears, for the sake of an example: the settings tell it."""
+
+STORE = (
+    Row(
+        "store",
+        "state",
+        "connections that all gateways hold to one, one each",
+        Figure(
+            "",
+            told(
+                SIZE.gateways,
+                f"{num(SIZE.gateways)} gateways × 1; a gateway's asks it "
+                f"{num(SIZE.asked / SIZE.stores)} times a second, and idle ones are kept "
+                f"{num(program.BOUNDS.idle / program.SECOND)} s",
+            ),
+        ),
+        program.LINKED,
+    ),
+    Row(
+        "store",
+        "state",
+        "the same, were only its own zone's gateways to ask it",
+        Figure("", told(SIZE.zone_gateways, f"{num(SIZE.gateways)} ÷ {num(SIZE.zones)} zones")),
+        program.LINKED,
+    ),
+    Row(
+        "store",
+        "state",
+        "a parent's, asked by its region's gateways",
+        Figure("", told(SIZE.region_gateways, f"{num(SIZE.gateways)} ÷ {num(SIZE.regions)} regions")),
+        program.LINKED,
+    ),
+    Row(
+        "store",
+        "state",
+        "connections of a gateway, one to each store",
+        Figure(
+            "",
+            told(
+                SIZE.stores,
+                f"{num(SIZE.stores)} stores; {num(program.SOCKETS)} sockets less "
+                f"{num(program.BOUNDS.callers)} for clients and {num(main.RESERVE)}",
+            ),
+            allowed=program.BOUNDS.links,
+        ),
+        program.LIMITS,
+    ),
+    Row(
+        "store",
+        "processor",
+        "a gateway's idle connections: processor time of each",
+        Figure("µs", _idle_core, (Need("stores.connections", "core_us"),)),
+        program.LINKED,
+    ),
+    Row(
+        "store",
+        "memory",
+        "a gateway's idle connections: memory of each",
+        Figure("KB", _idle_core, (Need("stores.connections", "memory_kb"),)),
+        program.LINKED,
+    ),
+    Row(
+        "store",
+        "messages",
+        "requests a second at one, own copies left out",
+        Figure("/s", told(SIZE.requests / SIZE.stores, f"{num(SIZE.requests)}/s ÷ {num(SIZE.stores)}")),
+        program.MODULE,
+    ),
+    Row(
+        "store",
+        "messages",
+        "bytes a second out of one",
+        Figure(
+            "MB/s",
+            told(SIZE.bits / 8 / SIZE.stores / 1e6, f"{num(SIZE.bits)} bit/s ÷ 8 ÷ {num(SIZE.stores)}"),
+        ),
+        program.MODULE,
+    ),
+    Row(
+        "store",
+        "state",
+        "objects on one, each kept once",
+        Figure("", told(SIZE.objects / SIZE.stores, f"{num(SIZE.objects)} ÷ {num(SIZE.stores)}")),
+        program.MODULE,
+    ),
+    Row(
+        "store",
+        "messages",
+        "a cold cache that bears 100 calls a window: calls a window of each gateway of its zone",
+        Figure(
+            "",
+            told(
+                logic.COLD_CAUTION * COLD_EXAMPLE / SIZE.zone_gateways,
+                f"{num(logic.COLD_CAUTION)} × {num(COLD_EXAMPLE)} ÷ {num(SIZE.zone_gateways)} gateways",
+            ),
+        ),
+        program.MODULE,
+    ),
+    Row(
+        "store",
+        "messages",
+        "a cold parent that bears 100 calls a window: calls a window of each gateway",
+        Figure(
+            "",
+            told(
+                logic.COLD_CAUTION * COLD_EXAMPLE / SIZE.gateways,
+                f"{num(logic.COLD_CAUTION)} × {num(COLD_EXAMPLE)} ÷ {num(SIZE.gateways)} gateways, its "
+                "own hub's aside",
+            ),
+        ),
+        program.MODULE,
+    ),
+    Row(
+        "store",
+        "messages",
+        "a cold cache's calls in a window over the N it bears, in parts of 2√N + 2",
+        Figure("", _cold, (Need("stores.cold", "over"),), 1.0),
+        program.MODULE,
+    ),
+    Row(
+        "store",
+        "messages",
+        "a cold parent's, by all gateways of its hub",
+        Figure("", _cold_parent, (Need("stores.cold", "over_parent"),), 1.0),
+        program.MODULE,
+    ),
+    Row(
+        "store",
+        "messages",
+        "purges a second that it hears of",
+        Figure(
+            "/s", told(SIZE.purges, "from its own log; a gateway tells it an age limit with each request")
+        ),
+        program.PURGES,
+    ),
+)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -24,7 +24,7 @@
 from hallproxy.lab.capacity.registry import Measurement, Quantity, Run
 from hallproxy.lab.capacity.results import Result, ResultsError
 from hallproxy.lab.capacity.roles import ROLES, ROWS
-from hallproxy.lab.capacity.rows import Figure, Mechanism, Need, Slopes, Worked, num, row_line
+from hallproxy.lab.capacity.rows import KINDS, Figure, Mechanism, Need, Slopes, Worked, num, row_line
 from hallproxy.lab.capacity.size import SIZE
 from tests.gateway import ROOT, until
 
@@ -310,6 +310,9 @@
 def test_every_role_has_rows_and_every_row_a_role() -> None:
     assert {row.role for row in ROWS} == set(ROLES)
     assert len({(row.role, row.quantity) for row in ROWS}) == len(ROWS)
+    for role in ROLES:
+        kinds = {row.kind for row in ROWS if row.role == role}
+        assert set(KINDS[:4]) <= kinds <= set(KINDS), role
 
 
 def everything(law: Callable[[float], float]) -> list[Result]:
@@ -329,7 +332,7 @@
             assert math.isfinite(came.value), row
             assert "?" not in came.text, row
         else:
-            assert math.isnan(came.value) and "not measured" in row_line(row, SIZE, of_all)[3], row
+            assert math.isnan(came.value) and "not measured" in row_line(row, SIZE, of_all)[4], row
 
 
 # The page and the plots ---------------------------------------------------------------------------------
