--- a/hallproxy/lab/capacity/cold.py
+++ b/hallproxy/lab/capacity/cold.py
@@ -81,7 +81,7 @@
 
 
 @measurement(
-    name="stores.cold_burst", role="store", x="gateways", sizes=(30, 139, 418, 1_500, 7_100),
+    name="stores.cold", role="store", x="gateways", sizes=(30, 139, 418, 1_500, 7_100),
     tiny=(4, 8, 16, 32),
     title="Calls of a cold store in a window after a quiet time, over the N that it bears: what is over, in "
     "parts of 2 x root of N + 2, and the most as a share of N; all gateways share one cache, or one parent",
--- a/hallproxy/lab/capacity/gateway_rows.py
+++ b/hallproxy/lab/capacity/gateway_rows.py
@@ -411,6 +411,11 @@
     return Worked(size.asked * us / 1e6, f"{num(size.asked)}/s × {num(us)} µs for {num(size.body_kb)} KB")
 
 
+def _indexes(size: Size, core: Slope) -> Worked:
+    us = core.at(100)
+    return Worked(1e6 / us, f"1 s ÷ {num(us)} µs")
+
+
 def _first_asked(size: Size, core: Slope) -> Worked:
     us = core.at(PROJECTS)
     return Worked(1e6 / us, f"1 s ÷ {num(us)} µs, {num(PROJECTS)} projects held")
@@ -434,6 +439,13 @@
         Figure("/s", told(SIZE.purges, "as a gateway")),
         program.POLLER,
     ),
+    Row(
+        "second",
+        "processor",
+        "indexes of 100 files by one core, from memory",
+        Figure("/s", _indexes, (Need("second.indexes", "core_us"),)),
+        program.FRONT,
+    ),
     Row(
         "second",
         "processor",
--- a/hallproxy/lab/capacity/rows.py
+++ b/hallproxy/lab/capacity/rows.py
@@ -82,7 +82,7 @@
         """A share of a core that was measured, in cores. KeyError for a quantity that is none."""
         if self.fit is None:
             return NOT_MEASURED
-        return self.at(x) * {"%": 0.01, "cores": 1.0}[self.unit.partition(" ")[0]]
+        return self.at(x) * {"%": 0.01, "us/s": 1e-6}[self.unit.partition(" ")[0]]
 
     @property
     def each(self) -> float:
--- a/hallproxy/lab/capacity/store_rows.py
+++ b/hallproxy/lab/capacity/store_rows.py
@@ -85,7 +85,7 @@
         "store",
         "processor",
         "a gateway with all the connections it may hold, idle",
-        Figure("cores", _idle, (Need("stores.connections", "idle_percent"),)),
+        Figure("cores", _idle, (Need("stores.connections", "core_us"),)),
         program.LINKED,
     ),
     Row(
@@ -156,22 +156,15 @@
     Row(
         "store",
         "messages",
-        "a cold cache's calls in its worst window over N + 2√N + 2, N being what it bears",
-        Figure("requests", _cold, (Need("stores.cold", "worst_over"),), 0.0),
-        program.MODULE,
-    ),
-    Row(
-        "store",
-        "messages",
-        "the same after a quiet time, over N, in parts of 2√N + 2",
-        Figure("", _cold, (Need("stores.cold_burst", "over"),), 1.0),
+        "a cold cache's calls in a window after a quiet time, over the N it bears, in parts of 2√N + 2",
+        Figure("", _cold, (Need("stores.cold", "over"),), 1.0),
         program.MODULE,
     ),
     Row(
         "store",
         "messages",
         "the same of a cold parent, by all gateways of its hub",
-        Figure("", _cold_parent, (Need("stores.cold_burst", "over_parent"),), 1.0),
+        Figure("", _cold_parent, (Need("stores.cold", "over_parent"),), 1.0),
         program.MODULE,
     ),
     Row(
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -33,7 +33,7 @@
 
 
 def line(
-    measurement: str = "stores.cold_burst", x: float = 1.0, values: registry.Measured | None = None,
+    measurement: str = "stores.cold", x: float = 1.0, values: registry.Measured | None = None,
     failed: str = "", repeat: int = 0, run: str = "2026-12-02T00:00:00+00:00", tiny: bool = False,
 ) -> Result:  # fmt: skip
     return Result(measurement, x, values or {}, failed, repeat, 1, tiny, run, run, 0.5, MACHINE, VERSION)
@@ -183,7 +183,7 @@
 
 
 def test_a_measurement_that_there_is_no_more_or_of_other_quantities(tmp_path: Path) -> None:
-    with pytest.raises(ResultsError, match="stores.cold_burst at 1: quantities"):
+    with pytest.raises(ResultsError, match="stores.cold at 1: quantities"):
         page.slopes([line(values={"former": 1.0})])
     page.slopes([line("a.former.one", values={"former": 1.0})])  # journal entries stay
 
@@ -248,6 +248,8 @@
 
 def test_shares_of_a_core_go_by_their_unit() -> None:
     assert slopes_of(lambda x: x, "%").of(Need("m", "y")).cores(2.0) == pytest.approx(0.02)
+    assert slopes_of(lambda x: x, "% of each relay").of(Need("m", "y")).cores(2.0) == pytest.approx(0.02)
+    assert slopes_of(lambda x: x, "us/s").of(Need("m", "y")).cores(2.0) == pytest.approx(2e-6)
     with pytest.raises(KeyError):
         slopes_of(lambda x: x, "MB").of(Need("m", "y")).cores(2.0)
 
@@ -291,9 +293,9 @@
     "configuration.gateways", "control.members", "control.page_events", "control.purge_rate",
     "decisions.members", "decisions.objects", "decisions.parents", "decisions.zones",
     "lists.members", "logs.followers", "logs.pages", "purges.copies", "purges.held",
-    "relay.changeover", "relay.control", "relay.followers", "relay.tiers", "second.files",
+    "relay.changeover", "relay.control", "relay.followers", "relay.tiers", "second.files", "second.indexes",
     "second.projects", "serving.body", "serving.rate", "starts.members", "starts.together",
-    "stores.cold", "stores.connections",
+    "stores.connections",
 }  # fmt: skip
 """Measurements that rows wait for. One that is there is taken out of here."""
 
@@ -565,7 +567,7 @@
         "-m",
         "hallproxy.lab.capacity",
         "run",
-        "stores.cold_burst",
+        "stores.cold",
         "--out",
         str(tmp_path / "out"),
     ]
