--- a/hallproxy/lab/capacity/failures.py
+++ b/hallproxy/lab/capacity/failures.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from hallproxy.lab.capacity import program
-from hallproxy.lab.capacity.roles import READY, STARTED, TOGETHER
+from hallproxy.lab.capacity.gateway_rows import READY, STARTED, TOGETHER
 from hallproxy.lab.capacity.rows import Figure, Mechanism, Need, Slope, Slopes, Worked, amount, num, sources
 from hallproxy.lab.capacity.size import SIZE, Size
 from hallproxy.run import changelog, main
@@ -245,7 +245,11 @@
         f"at once where the connection is reset; else a poll fails after {num(NOTICED)} s",
         Figure(
             "ms",
-            lambda size, delay: Worked(delay.at(size.followers), f"{num(size.followers)} followers move"),
+            lambda size, delay: Worked(
+                delay.at(size.control_machines - 1),
+                f"a purge to its last follower; {num(size.control_machines - 1)} relays with 400 followers, "
+                f"{num(size.gateways)} at the size",
+            ),
             (Need("relay.changeover", "delay_p100_ms"),),
             1e3 * SIZE.purge_in,
         ),
--- a/hallproxy/lab/capacity/rows.py
+++ b/hallproxy/lab/capacity/rows.py
@@ -60,13 +60,18 @@
         if self.fit is None:
             return NOT_MEASURED
         known = {point.x: point.y for point in self.fit.points}
-        if self.fit.straight and self.fitted:
-            value = self.fit.at(x)
-        elif x in known:
-            return known[x]
-        else:
-            self._note(f"{self.need.quantity} is no straight line: {self.fit.shape}")
+        value, line = self.fit.at(x), self.fit.straight and self.fitted
+        if line and value < 0 <= min(known.values()):
+            self._note(f"{self.need.quantity}: the line would be under 0")
+            line = False
+        if not line:
+            if x in known:
+                return known[x]
             value = self.fit.near(x)
+            if self.fitted and not self.fit.straight:
+                self._note(f"{self.need.quantity} is no straight line: {self.fit.shape}")
+            elif not self.fitted and self.fit.points[0].x < x < self.fit.largest:
+                self._note("between two sizes measured")
         if x > 1.01 * self.fit.largest:
             self._note(f"{num(x / self.fit.largest)} × the largest size measured")
         elif x < self.fit.points[0].x:
@@ -75,7 +80,9 @@
 
     def cores(self, x: float) -> float:
         """A share of a core that was measured, in cores. KeyError for a quantity that is none."""
-        return NOT_MEASURED if self.fit is None else self.at(x) * {"%": 0.01, "cores": 1.0}[self.unit]
+        if self.fit is None:
+            return NOT_MEASURED
+        return self.at(x) * {"%": 0.01, "us/s": 1e-6}[self.unit.partition(" ")[0]]
 
     @property
     def each(self) -> float:
@@ -129,6 +136,11 @@
 """Of the size and then a Slope for each need, in their order."""
 
 
+def told(value: float, text: str) -> Work:
+    """Arithmetic on the operators' numbers and the program's own bounds alone."""
+    return lambda size, *slopes: Worked(value, text)
+
+
 @dataclass(frozen=True)
 class Mechanism:
     """What carries a row, and the file or directory that it is in. Where that isn't there it is missing."""
@@ -158,7 +170,7 @@
         """The text ends with what the slopes noted about themselves."""
         used = [slopes.of(need) for need in self.needs]
         came = self.work(size, *used)
-        notes = [note for slope in used for note in slope.notes]
+        notes = list(dict.fromkeys(note for slope in used for note in slope.notes))
         return (Worked(came.value, f"{came.text} ({'; '.join(notes)})") if notes else came), used
 
     def verdict(self, value: float) -> str:
@@ -175,9 +187,15 @@
         return ("at least " if self.least else "") + amount(self.allowed, self.unit)
 
 
+KINDS = ("state", "messages", "processor", "memory", "time")
+
+
 @dataclass(frozen=True)
 class Row:
+    """`kind` is one of `KINDS`; each role has rows of the first four."""
+
     role: str
+    kind: str
     quantity: str
     figure: Figure
     mechanism: Mechanism
@@ -188,7 +206,16 @@
     came, used = row.figure.worked(size, slopes)
     verdict = row.figure.verdict(came.value) if row.mechanism.there else "**missing**"
     result = "not measured" if math.isnan(came.value) else amount(came.value, row.figure.unit)
-    return [row.quantity, came.text, sources(used), result, row.figure.bound(), verdict, str(row.mechanism)]
+    return [
+        row.kind,
+        row.quantity,
+        came.text,
+        sources(used),
+        result,
+        row.figure.bound(),
+        verdict,
+        str(row.mechanism),
+    ]
 
 
 def sources(used: Iterable[Slope]) -> str:
--- /dev/null
+++ b/hallproxy/lab/capacity/store_rows.py
@@ -0,0 +1,179 @@
+"""Rows of a store: what all gateways hold open to it, and send it, also when it is cold."""
+
+from hallproxy import logic
+from hallproxy.lab.capacity import program
+from hallproxy.lab.capacity.rows import Figure, Need, Row, Slope, Worked, num, told
+from hallproxy.lab.capacity.size import SIZE, Size
+from hallproxy.run import main
+
+
+def _idle(size: Size, share: Slope) -> Worked:
+    held = program.BOUNDS.links
+    return Worked(share.cores(held), f"{num(held)} connections")
+
+
+def _opened(size: Size, opened: Slope) -> Worked:
+    us = opened.at(opened.fit.largest if opened.fit else 0)
+    text = f"{num(size.asked)} requests/s × {num(us)} µs, at the most connections measured"
+    return Worked(size.asked * us / 1e6, text)
+
+
+def _held(size: Size, memory: Slope) -> Worked:
+    held, kb = program.BOUNDS.links, memory.each
+    return Worked(held * kb / 1e3, f"{num(held)} connections × {num(kb)} KB")
+
+
+def _cold(size: Size, over: Slope) -> Worked:
+    return Worked(over.at(size.zone_gateways), f"{num(size.zone_gateways)} gateways of its zone ask at once")
+
+
+def _cold_parent(size: Size, over: Slope) -> Worked:
+    return Worked(
+        over.at(size.gateways), f"all {num(size.gateways)} gateways ask at once, more than any hub has"
+    )
+
+
+COLD_EXAMPLE = 100.0
+"""Calls a window that a cold store bears, for the sake of an example: the settings tell it."""
+
+STORE = (
+    Row(
+        "store",
+        "state",
+        "connections that all gateways hold to one, one each",
+        Figure(
+            "",
+            told(
+                SIZE.gateways,
+                f"{num(SIZE.gateways)} gateways × 1; a gateway's asks it "
+                f"{num(SIZE.asked / SIZE.stores)} times a second, and idle ones are kept "
+                f"{num(program.BOUNDS.idle / program.SECOND)} s",
+            ),
+        ),
+        program.LINKED,
+    ),
+    Row(
+        "store",
+        "state",
+        "the same, were only its own zone's gateways to ask it",
+        Figure("", told(SIZE.zone_gateways, f"{num(SIZE.gateways)} ÷ {num(SIZE.zones)} zones")),
+        program.LINKED,
+    ),
+    Row(
+        "store",
+        "state",
+        "a parent's, asked by its region's gateways",
+        Figure("", told(SIZE.region_gateways, f"{num(SIZE.gateways)} ÷ {num(SIZE.regions)} regions")),
+        program.LINKED,
+    ),
+    Row(
+        "store",
+        "state",
+        "connections of a gateway, one to each store",
+        Figure(
+            "",
+            told(
+                SIZE.stores,
+                f"{num(SIZE.stores)} stores; {num(program.SOCKETS)} sockets less "
+                f"{num(program.BOUNDS.callers)} for clients and {num(main.RESERVE)}",
+            ),
+            allowed=program.BOUNDS.links,
+        ),
+        program.LIMITS,
+    ),
+    Row(
+        "store",
+        "processor",
+        "a gateway with all the connections it may hold, idle",
+        Figure("cores", _idle, (Need("stores.connections", "core_us"),)),
+        program.LINKED,
+    ),
+    Row(
+        "store",
+        "processor",
+        "opening a connection and closing another for it, as each request may where they are too few",
+        Figure("cores", _opened, (Need("stores.connections", "open_us"),), 1.0),
+        program.LINKED,
+    ),
+    Row(
+        "store",
+        "memory",
+        "a gateway's connections, as many as it may hold",
+        Figure("MB", _held, (Need("stores.connections", "memory_kb"),)),
+        program.LINKED,
+    ),
+    Row(
+        "store",
+        "messages",
+        "requests a second at one, own copies left out",
+        Figure("/s", told(SIZE.requests / SIZE.stores, f"{num(SIZE.requests)}/s ÷ {num(SIZE.stores)}")),
+        program.MODULE,
+    ),
+    Row(
+        "store",
+        "messages",
+        "bytes a second out of one",
+        Figure(
+            "MB/s",
+            told(SIZE.bits / 8 / SIZE.stores / 1e6, f"{num(SIZE.bits)} bit/s ÷ 8 ÷ {num(SIZE.stores)}"),
+        ),
+        program.MODULE,
+    ),
+    Row(
+        "store",
+        "state",
+        "objects on one, each kept once",
+        Figure("", told(SIZE.objects / SIZE.stores, f"{num(SIZE.objects)} ÷ {num(SIZE.stores)}")),
+        program.MODULE,
+    ),
+    Row(
+        "store",
+        "messages",
+        "a cold cache that bears 100 calls a window: calls a window of each gateway of its zone",
+        Figure(
+            "",
+            told(
+                logic.COLD_CAUTION * COLD_EXAMPLE / SIZE.zone_gateways,
+                f"{num(logic.COLD_CAUTION)} × {num(COLD_EXAMPLE)} ÷ {num(SIZE.zone_gateways)} gateways",
+            ),
+        ),
+        program.MODULE,
+    ),
+    Row(
+        "store",
+        "messages",
+        "a cold parent that bears 100 calls a window: calls a window of each gateway",
+        Figure(
+            "",
+            told(
+                logic.COLD_CAUTION * COLD_EXAMPLE / SIZE.gateways,
+                f"{num(logic.COLD_CAUTION)} × {num(COLD_EXAMPLE)} ÷ {num(SIZE.gateways)} gateways, its "
+                "own hub's aside",
+            ),
+        ),
+        program.MODULE,
+    ),
+    Row(
+        "store",
+        "messages",
+        "a cold cache's calls in a window after a quiet time, over the N it bears, in parts of 2√N + 2",
+        Figure("", _cold, (Need("stores.cold", "over"),), 1.0),
+        program.MODULE,
+    ),
+    Row(
+        "store",
+        "messages",
+        "the same of a cold parent, by all gateways of its hub",
+        Figure("", _cold_parent, (Need("stores.cold", "over_parent"),), 1.0),
+        program.MODULE,
+    ),
+    Row(
+        "store",
+        "messages",
+        "purges a second that it hears of",
+        Figure(
+            "/s", told(SIZE.purges, "from its own log; a gateway tells it an age limit with each request")
+        ),
+        program.PURGES,
+    ),
+)
