--- a/hallproxy/lab/capacity/runner.py
+++ b/hallproxy/lab/capacity/runner.py
@@ -20,6 +20,7 @@
 MARK = "HALLPROXY_CAPACITY_RUN"
 """Environment variable that all processes of one size inherit, also those in a session of their own."""
 COMMAND = [sys.executable, "-m", "hallproxy.lab.capacity.one"]
+WHY_MOST = 300  # characters of why a size failed
 LEAVE_IN = 2.0  # s that children may take to go once the measurement has ended
 
 
@@ -79,9 +80,16 @@
             _end(process, mark)
         if over:
             return {}, f"over its limit of {limit:g} s"
+        values, why = _outcome(one, outcome, process.returncode)
         if left:
-            return {}, f"left {left} processes running"
-        return _outcome(one, outcome, process.returncode)
+            values, why = {}, "; ".join([*([why] if why else []), f"left {left} processes running"])
+        return values, _plain(why, scratch)
+
+
+def _plain(why: str, scratch: str) -> str:
+    """In one line for the results and the page, without where it was on this machine."""
+    shown = why.replace(scratch, "scratch").replace(str(results.ROOT), ".")
+    return " ".join(shown.split())[:WHY_MOST]
 
 
 def _outcome(one: Measurement, outcome: Path, status: int) -> tuple[Measured, str]:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -513,6 +513,10 @@
         ("return {'y': float('nan')}", "y is nan"), ("return {'y': 'much'}", "y is much"),
         ("return {'y': True}", "y is True"), ("os._exit(9)", "ended with status 9 and no outcome"),
         ("return 1 / 0", "ZeroDivisionError: division by zero"),
+        ("raise registry.MeasurementError(f'{run.where}/log:\\n\\tbroke')",
+         "MeasurementError: scratch/where/log: broke"),
+        ("raise registry.MeasurementError('x' * 1000)", "MeasurementError: " + "x" * 282),
+        (f"{CHILD}; return 1 / 0", "ZeroDivisionError: division by zero; left 1 processes running"),
     ],
 )  # fmt: skip
 def test_why_one_failed_is_in_its_line(
