--- a/hallproxy/lab/capacity/catalogue.py
+++ b/hallproxy/lab/capacity/catalogue.py
@@ -4,7 +4,12 @@
 
 from hallproxy.lab.capacity.registry import Measurement, register
 
-MODULES: tuple[str, ...] = ()
+MODULES: tuple[str, ...] = (
+    "lists",
+    "decisions",
+    "serving",
+    "starts",
+)
 """Names of modules beside this one, in the order of the page; whoever writes one adds its line."""
 
 
--- /dev/null
+++ b/hallproxy/lab/capacity/decisions.py
@@ -0,0 +1,183 @@
+"""What one decision costs: the module hears a request and says `Get`, then hears how that ended.
+
+One request is open at a time, of a gateway as the operators plan them (7,100 in 51 zones). Two members in
+nine are parents. Everything is warm, each answer good, each object new unless a measurement says otherwise.
+"""
+
+import gc
+import statistics
+import time
+import tracemalloc
+
+from hallproxy.interface import (
+    Action,
+    Get,
+    ListKind,
+    Member,
+    MembersChanged,
+    Outcome,
+    Request,
+    Seen,
+    Settings,
+    Status,
+)
+from hallproxy.lab.capacity import fleet
+from hallproxy.lab.capacity.registry import Measured, MeasurementError, Quantity, Run, measurement
+from hallproxy.logic import COUNTS_MAX, GAINS_KEPT, Router
+from hallproxy.wire.bench import member_from_json
+
+NOW = 1_700_000_000 * fleet.SECOND
+BLOCKS = 5  # the median of so many means is the figure
+DECISIONS, FOR = 400, 1.2  # in a block: so many decisions, or as many as take so many s
+
+
+class Decider:
+    """One router, its clock, and a count of what it was asked and said."""
+
+    def __init__(self, settings: Settings, members: tuple[Member, ...], seed: int) -> None:
+        self.router = Router(settings, seed)
+        self.now, self.asked = NOW, 0
+        self.router.handle(self.now, [MembersChanged(ListKind.FULL, members, 1)])
+
+    def one(self, obj: int, size_kb: float = 40.0) -> list[Action]:
+        """A request's whole way; what was said of it. Raises MeasurementError where that is no `Get`."""
+        self.asked += 1
+        ident = self.asked
+        self.now += fleet.MS
+        said = self.router.handle(self.now, [Request(ident, 0, 5 * fleet.SECOND, obj, size_kb=size_kb)])
+        got = next((action for action in said if isinstance(action, Get)), None)
+        if got is None:
+            raise MeasurementError(f"request {ident} got no attempt: {said}")
+        self.now += fleet.MS
+        self.router.handle(self.now, [Outcome(ident, 0, got.server, Status.OK, 20 * fleet.MS, True)])
+        return said
+
+    def block(self, first: int, most: int) -> tuple[int, float]:
+        """Decisions on new objects from number ``first`` on: how many, and the mean µs of one."""
+        began = time.process_time()
+        for n in range(most):
+            self.one(first + n)
+            spent = time.process_time() - began
+            if spent > FOR:
+                break
+        return n + 1, spent / (n + 1) * 1e6
+
+
+def made(
+    members: int, zones: int, run: Run, parents: int | None = None
+) -> tuple[Settings, tuple[Member, ...]]:
+    settings = fleet.settings(zones)
+    listed = fleet.lines(members, run.random, zones, parents)
+    return settings, tuple(member_from_json(line, settings)[0] for line in listed)
+
+
+def _measure(members: int, zones: int, run: Run, parents: int | None = None) -> Measured:
+    settings, listed = made(members, zones, run, parents)
+    decider = Decider(settings, listed, run.seed)
+    blocks, first = [], 1
+    for _ in range(1 if run.tiny else BLOCKS):
+        count, mean = decider.block(first, 20 if run.tiny else DECISIONS)
+        first += count
+        blocks.append(mean)
+    router = decider.router
+    if len(router.peers) != members or router.open or len(router.counts) > first - 1:
+        raise MeasurementError(f"{len(router.peers)} of {members} members, {len(router.open)} requests open")
+    if sum(peer.out for peer in router.peers.values()):
+        raise MeasurementError("attempts are out though all were answered")
+    caches = len(router.caches)
+    del decider, router
+    gc.collect()
+    tracemalloc.start()
+    again = Decider(settings, listed, run.seed)
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del again
+    return {
+        "decision_us": statistics.median(blocks),
+        "memory_kb": size / 1e3,
+        "caches": float(caches),
+        "parents": float(fleet.parents_of(members) if parents is None else parents),
+    }
+
+
+QUANTITIES = (
+    Quantity("decision_us", "us"),
+    Quantity("memory_kb", "KB"),
+    Quantity("caches", "", fitted=False),
+    Quantity("parents", "", fitted=False),
+)
+
+
+@measurement(
+    name="decisions.members", role="decision", x="members", sizes=(150, 500, 1500, 5000), tiny=(4, 8, 16, 32),
+    title="Processor time of a decision and memory of the module (the list's own lines aside), by members in "
+    "51 zones of 17 regions; caches: those of the own zone", quantities=QUANTITIES, minutes=2.0,
+)  # fmt: skip
+def members(size: float, run: Run) -> Measured:
+    return _measure(int(size), fleet.ZONES, run)
+
+
+@measurement(
+    name="decisions.zones", role="decision", x="zones", sizes=(3, 12, 24, 51), tiny=(3, 6, 9, 12),
+    title="The same with 1,500 members by the number of zones they are spread over, three to a region",
+    quantities=QUANTITIES, minutes=2.0,
+)  # fmt: skip
+def zones(size: float, run: Run) -> Measured:
+    return _measure(32 if run.tiny else 1_500, int(size), run)
+
+
+@measurement(
+    name="decisions.parents", role="decision", x="parents", sizes=(4, 17, 51, 150, 500), tiny=(1, 2, 4, 8),
+    title="The same by the number of parents, among 1,500 members in 51 zones of 17 regions",
+    quantities=QUANTITIES[:3], minutes=2.0,
+)  # fmt: skip
+def parents(size: float, run: Run) -> Measured:
+    measured = _measure(32 if run.tiny else 1_500, fleet.ZONES, run, int(size))
+    del measured["parents"]
+    return measured
+
+
+@measurement(
+    name="decisions.objects", role="decision", x="objects", sizes=(1_000, 10_000, 100_000, 400_000),
+    tiny=(10, 20, 40, 80), minutes=2.0,
+    title="A decision among 150 members after so many objects were asked for inside 10 s: the table of "
+    f"counts is bounded at {COUNTS_MAX:,} and aged at once over that, so memory and counted level off; "
+    "memory: the most while they were counted",
+    quantities=(Quantity("decision_us", "us"), Quantity("count_us", "us"),
+                Quantity("memory_kb", "KB", fitted=False), Quantity("counted", "", fitted=False)),
+)  # fmt: skip
+def objects(size: float, run: Run) -> Measured:
+    settings, listed = made(8 if run.tiny else 150, fleet.ZONES, run)
+    idents = [run.random.getrandbits(64) for _ in range(int(size))]
+    used: list[float] = []
+    for traced in (True, False):
+        decider = Decider(settings, listed, run.seed)
+        gc.collect()
+        if traced:
+            tracemalloc.start()
+        began = time.process_time()
+        for n, ident in enumerate(idents):
+            # All inside one ageing period of 10 s, so only the bound itself takes any out.
+            decider.router.handle(NOW + n * 8 * fleet.SECOND // len(idents), [Seen(ident)])
+        spent = time.process_time() - began
+        if traced:
+            used.append(tracemalloc.get_traced_memory()[1] / 1e3)
+            tracemalloc.stop()
+    counted = len(decider.router.counts)
+    if counted > COUNTS_MAX + 1 or (size <= COUNTS_MAX and counted != int(size)):
+        raise MeasurementError(f"{counted} of {int(size)} objects are counted")
+    decider.now = NOW + 8 * fleet.SECOND
+    blocks, first = [], 1 << 65  # past all that were drawn
+    for _ in range(1 if run.tiny else BLOCKS):
+        count, mean = decider.block(first, 20 if run.tiny else 150)
+        first += count
+        blocks.append(mean)
+    gains = decider.router.gains
+    if len(gains.recent) > GAINS_KEPT or len(gains.ordered) != len(gains.recent):
+        raise MeasurementError(f"{len(gains.recent)} gains are held")
+    return {
+        "decision_us": statistics.median(blocks),
+        "count_us": spent / len(idents) * 1e6,
+        "memory_kb": used[0],
+        "counted": float(counted),
+    }
--- /dev/null
+++ b/hallproxy/lab/capacity/lists.py
@@ -0,0 +1,113 @@
+"""What a list of members costs a gateway, and what one change of it does.
+
+News goes the way it goes in a gateway: `read_page`, `read_events`, `reduce`. Two members in nine are parents
+(`fleet.CACHES_A_PARENT`), but for `lists.parents`, which sets them.
+"""
+
+import json
+import statistics
+import time
+import tracemalloc
+
+from hallproxy.lab.capacity import fleet
+from hallproxy.lab.capacity.registry import Measured, MeasurementError, Quantity, Run, measurement
+from hallproxy.logic import Router
+from hallproxy.state.model import State
+from hallproxy.state.reducer import reduce
+from hallproxy.wire.changelog import read_events, read_page
+
+NOW = 1_700_000_000 * fleet.SECOND
+CHANGES, CHANGES_FOR = 25, 3.0  # so many changes, or as many as take so many s of processor time
+
+
+class Gateway:
+    """The state of one gateway and the last number that it heard."""
+
+    def __init__(self, seed: int, zones: int = fleet.ZONES) -> None:
+        settings = fleet.settings(zones)
+        self.state = State(settings, Router(settings, seed))
+        self.heard = 0
+        self.now = NOW
+
+    def hear(self, raw: bytes) -> float:
+        """Take in one page, as it comes from the wire; the processor time it took, in s."""
+        self.now += fleet.MS
+        began = time.process_time()
+        for seq, event in read_events(read_page(raw), self.heard, self.state.settings, self.now):
+            if event is not None:
+                reduce(self.state, event)
+            self.heard = seq
+        return time.process_time() - began
+
+    def ready(self) -> int:
+        """How many members the module would use or look at, as it sees them."""
+        return sum(peer.member.state.name == "READY" for peer in self.state.router.peers.values())
+
+
+def _measure(members: int, parents: int, run: Run) -> Measured:
+    listed = fleet.lines(members, run.random, parents=parents)
+    raw = json.dumps(fleet.page([fleet.whole(listed)])).encode()
+    fulls = []
+    for _ in range(1 if run.tiny else 3):
+        gateway = Gateway(run.seed)
+        fulls.append(gateway.hear(raw))
+    if len(gateway.state.members.known) != members or gateway.ready() != members:
+        raise MeasurementError(f"{gateway.ready()} of {members} members are held")
+    tiers = gateway.state.router.tiers
+    if sum(map(len, tiers)) > parents + 1 or len(tiers[-1]) != 1:
+        raise MeasurementError(f"{sum(map(len, tiers))} sources of {parents} parents and an origin")
+    part = sum(peer.part for tier in tiers[:-1] for peer in tier)
+    hub = sum(gateway.state.settings.zone_routers[: fleet.ZONES_OF_HUB])
+    if not 0 < part <= hub * (1 + 1e-6):
+        raise MeasurementError(f"parents are to get {part} of the region's {hub} gateways' fills")
+    caches = [line for line in listed if line["machineType"] == "std"]
+    changes: list[float] = []
+    for n, line in enumerate(caches[:-1][: 3 if run.tiny else CHANGES]):
+        told = json.dumps(fleet.page([fleet.change(line, 2 + n, lifecycle="Terminating")], gateway.heard + 1))
+        changes.append(gateway.hear(told.encode()))
+        if sum(changes) > CHANGES_FOR and n >= 4:
+            break
+    if gateway.ready() != members - len(changes) or gateway.heard != 1 + len(changes):
+        raise MeasurementError(f"{gateway.ready()} are ready after {len(changes)} of {members} drained")
+    del gateway
+    tracemalloc.start()
+    held = Gateway(run.seed)
+    held.hear(raw)
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return {
+        "change_ms": statistics.median(changes) * 1e3 if changes else None,
+        "full_ms": statistics.median(fulls) * 1e3,
+        "memory_mb": size / 1e6,
+        "list_kb": len(raw) / 1e3,
+        "parents": float(parents),
+    }
+
+
+QUANTITIES = (
+    Quantity("change_ms", "ms"),
+    Quantity("full_ms", "ms"),
+    Quantity("memory_mb", "MB"),
+    Quantity("list_kb", "KB"),
+    Quantity("parents", "", fitted=False),
+)
+
+
+@measurement(
+    name="lists.members", role="list", x="members", sizes=(150, 500, 1500, 5000), tiny=(4, 8, 16, 32),
+    title="Processor time of one change (a cache drains) and of a whole list, of which two in nine are "
+    "parents, in 51 zones of 17 regions", quantities=QUANTITIES, minutes=3.0,
+)  # fmt: skip
+def members(size: float, run: Run) -> Measured:
+    return _measure(int(size), fleet.parents_of(int(size)), run)
+
+
+@measurement(
+    name="lists.parents", role="list", x="parents", sizes=(4, 17, 51, 150, 500), tiny=(1, 2, 4, 8),
+    title="The same by the number of parents, among 1,500 members in 51 zones of 17 regions",
+    quantities=QUANTITIES[:-1], minutes=3.0,
+)  # fmt: skip
+def parents(size: float, run: Run) -> Measured:
+    measured = _measure(32 if run.tiny else 1_500, int(size), run)
+    del measured["parents"]
+    return measured
--- /dev/null
+++ b/hallproxy/lab/capacity/serving.py
@@ -0,0 +1,84 @@
+"""What a request costs a real gateway that asks a store for it and passes its bytes on.
+
+A list of four caches, a parent and the origin: what a longer list costs on top is `decisions.members`. Each
+object is asked for once, so none is answered from an own copy. KB are of 1,024 bytes.
+"""
+
+import asyncio
+
+from hallproxy.lab.capacity import fleet, process
+from hallproxy.lab.capacity.client import Client
+from hallproxy.lab.capacity.registry import Measured, MeasurementError, Quantity, Run, measurement
+
+KB = 1024
+WARM_UP = 200  # requests ahead of those that count: connections, tables, the interpreter's own
+AT_ONCE = 8
+
+
+def _page(address: str) -> fleet.Json:
+    return fleet.page([fleet.whole(process.few(address))])
+
+
+@measurement(
+    name="serving.body", role="gateway", x="body", x_unit="KB", sizes=(1, 10, 50, 100, 200, 234),
+    tiny=(1, 10, 100, 234), minutes=2.0,
+    title=f"Processor time (user and system) of a request that a store answers, {AT_ONCE} out at a time on "
+    "four connections, six members in the list; an object is 234 KB at most",
+    quantities=(Quantity("core_us", "us"),),
+)  # fmt: skip
+def body(size: float, run: Run) -> Measured:
+    length = int(size * KB)
+    many = 40 if run.tiny else 4_000 if size <= 50 else 2_000
+    first = 10 if run.tiny else WARM_UP
+    rows = [run.random.getrandbits(63) for _ in range(first + many)]
+
+    async def ask(port: int, pid: int) -> float:
+        client = Client(port, length)
+        await client.open()
+        await client.closed_loop(rows[:first], AT_ONCE)
+        before = process.processor_s(pid)
+        await client.closed_loop(rows[first:], AT_ONCE)
+        spent = process.processor_s(pid) - before
+        client.close()
+        client.counted.check(len(rows), length)
+        return spent
+
+    with process.standins(_page, length) as (standins, page):
+        with process.gateway(run.where, page, standins.log, process.one_zone()) as made:
+            spent = asyncio.run(ask(made.port, made.pid))
+        if standins.counts.asked != len(rows):
+            raise MeasurementError(f"the store was asked {standins.counts.asked} of {len(rows)} times")
+    return {"core_us": spent / many * 1e6}
+
+
+@measurement(
+    name="serving.rate", role="gateway", x="rate", x_unit="requests/s", sizes=(200, 400, 800, 1127),
+    tiny=(20, 40, 60, 80), minutes=2.0,
+    title="Share of a core at requests of 1 KB that come at a steady rate, six members in the list",
+    quantities=(Quantity("core_percent", "%"), Quantity("core_us", "us", fitted=False)),
+)  # fmt: skip
+def rate(size: float, run: Run) -> Measured:
+    many = int(size * (0.3 if run.tiny else 6))
+    first = 10 if run.tiny else WARM_UP
+    rows = [run.random.getrandbits(63) for _ in range(first + many)]
+
+    async def ask(port: int, pid: int) -> tuple[float, float]:
+        client = Client(port, KB)
+        await client.open()
+        await client.closed_loop(rows[:first], 2)
+        before = process.processor_s(pid)
+        took = await client.open_loop(rows[first:], size)
+        spent = process.processor_s(pid) - before
+        client.close()
+        client.counted.check(len(rows), KB)
+        return spent, took
+
+    with process.standins(_page, KB) as (standins, page):
+        with process.gateway(run.where, page, standins.log, process.one_zone()) as made:
+            spent, took = asyncio.run(ask(made.port, made.pid))
+        if standins.counts.asked != len(rows):
+            raise MeasurementError(f"the store was asked {standins.counts.asked} of {len(rows)} times")
+    # Of the time that the requests' rate allows, so a client that fell behind makes it no smaller.
+    if not run.tiny and took > 1.25 * many / size:
+        raise MeasurementError(f"{many} requests at {size:g}/s took {took:.1f} s: the rate was not kept")
+    return {"core_percent": spent / (many / size) * 100, "core_us": spent / many * 1e6}
