--- a/hallproxy/lab/capacity/process.py
+++ b/hallproxy/lab/capacity/process.py
@@ -27,15 +27,21 @@
 ROOT = Path(__file__).parents[3]
 READY_IN = 30.0  # s
 END_IN = 15.0  # s
-TICK = 1 / os.sysconf("SC_CLK_TCK")  # s; the step of the system's own count of processor time
 _ASKED = re.compile(rb"GET /v2/q/(\w+)/([0-9a-f]{16})/(\d+) HTTP/1\.1\r\n")
 _POLLED = re.compile(rb"GET /changes\?since=(\d+)&timeout=(\d+) HTTP/1\.1\r\n")
 
 
 def processor_s(pid: int) -> float:
-    """utime + stime of a process so far, all its threads together; to 10 ms on most systems."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) * TICK
+    """utime + stime of a process so far, all its threads together.
+
+    Read from the process's own clock, as clock_getcpuclockid(3) names it: /proc/PID/stat counts in
+    steps of 10 ms.
+    Raises MeasurementError where there is no such process.
+    """
+    try:
+        return time.clock_gettime(~pid << 3 | 2)
+    except OSError as error:
+        raise MeasurementError(f"no processor time of process {pid}: {error.strerror}") from None
 
 
 def memory_kb(pid: int, which: str = "VmRSS") -> float:
