--- a/hallproxy/lab/capacity/catalogue.py
+++ b/hallproxy/lab/capacity/catalogue.py
@@ -9,6 +9,9 @@
     "decisions",
     "serving",
     "starts",
+    "purges",
+    "stores",
+    "second",
 )
 """Names of modules beside this one, in the order of the page; whoever writes one adds its line."""
 
--- a/hallproxy/lab/capacity/process.py
+++ b/hallproxy/lab/capacity/process.py
@@ -18,6 +18,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -66,6 +67,7 @@
         ("heard", ctypes.c_int64),  # the highest number that a poll asked from
         ("asked", ctypes.c_int64),  # requests that came to the store
         ("connections", ctypes.c_int64),  # open to the store now
+        ("accepted", ctypes.c_int64),  # connections to it so far
         ("unread", ctypes.c_int64),  # heads that make no sense here
     ]
 
@@ -107,8 +109,8 @@
 
     held: list["Store"] = []  # connections whose requests wait until there are as many as are held
 
-    def __init__(self, size: int, hold: int, counts: Any) -> None:
-        self._size, self._hold, self._counts = size, hold, counts
+    def __init__(self, size: int, hold: int, dated: bool, counts: Any) -> None:
+        self._size, self._hold, self._dated, self._counts = size, hold, dated, counts
         self._came, self._row = b"", 0
         self._transport: asyncio.Transport
 
@@ -116,6 +118,7 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._counts.connections += 1
+        self._counts.accepted += 1
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._counts.connections -= 1
@@ -139,8 +142,9 @@
             Store.held.clear()
 
     def answer(self) -> None:
-        head = b'HTTP/1.1 200 OK\r\nETag: "%x"\r\nX-Born-Ms: %d\r\nContent-Length: %d\r\n\r\n' % (
-            self._row, time.time_ns() // fleet.MS, self._size)  # fmt: skip
+        born = b"X-Born-Ms: %d\r\n" % (time.time_ns() // fleet.MS) if self._dated else b""
+        head = b'HTTP/1.1 200 OK\r\nETag: "%x"\r\n%s' % (self._row, born)
+        head += b"Content-Length: %d\r\n\r\n" % self._size
         self._transport.write(head + body_of(self._row, self._size))
 
 
@@ -152,12 +156,13 @@
 
 
 def _serve(
-    log: socket.socket, store: socket.socket, page: fleet.Json, size: int, hold: int, counts: Any
+    log: socket.socket, store: socket.socket, page: fleet.Json, size: int, hold: int, dated: bool, counts: Any
 ) -> None:
     async def serve() -> None:
         running = asyncio.get_running_loop()
         await running.create_server(lambda: Log(page, counts), sock=log, backlog=512)
-        server = await running.create_server(lambda: Store(size, hold, counts), sock=store, backlog=512)
+        made = partial(Store, size, hold, dated, counts)
+        server = await running.create_server(made, sock=store, backlog=512)
         await server.serve_forever()
 
     asyncio.run(serve())
@@ -165,19 +170,19 @@
 
 @contextmanager
 def standins(
-    page: Callable[[str], fleet.Json], size: int = 0, hold: int = 1
+    page: Callable[[str], fleet.Json], size: int = 0, hold: int = 1, dated: bool = True
 ) -> Iterator[tuple[Standins, fleet.Json]]:
     """A change log and a store in a process of their own.
 
     ``page`` gives the log's whole page for the store's address. The store's bodies have ``size`` bytes each;
-    it answers when ``hold`` requests are with it.
+    it answers when ``hold`` requests are with it. What is not ``dated`` is no copy that a gateway keeps.
     """
     log, store = (socket.create_server(("127.0.0.1", 0), backlog=512) for _ in range(2))
     addresses = ["127.0.0.1:%d" % sock.getsockname()[1] for sock in (log, store)]
     forking = multiprocessing.get_context("fork")
     counts: Any = forking.Value(Counts, lock=False)
     told = page(addresses[1])
-    process = forking.Process(target=_serve, args=(log, store, told, size, hold, counts), daemon=True)
+    process = forking.Process(target=_serve, args=(log, store, told, size, hold, dated, counts), daemon=True)
     process.start()
     log.close()
     store.close()
@@ -193,9 +198,11 @@
 class Gateway:
     """One gateway's process. It is ready when its port takes connections."""
 
-    def __init__(self, where: Path, name: str, known: fleet.Json, log: str, settings: fleet.Json) -> None:
+    def __init__(
+        self, where: Path, name: str, known: fleet.Json, log: str, settings: fleet.Json, sockets: int = 1024
+    ) -> None:
         config = {"name": name, "listen": "127.0.0.1:0", "seed": "8c1f", "known": known, "changelog": log,
-                  "limits": {"memory_mb": 256, "sockets": 1024}, "settings": settings,
+                  "limits": {"memory_mb": 256, "sockets": sockets}, "settings": settings,
                   "flow_bytes_per_s": 10**7, "link_bytes_per_s": 10**8}  # fmt: skip
         path = where / f"{name}.json"
         path.write_text(json.dumps(config))
@@ -257,9 +264,11 @@
 
 
 @contextmanager
-def gateway(where: Path, known: fleet.Json, log: str, settings: fleet.Json) -> Iterator[Gateway]:
+def gateway(
+    where: Path, known: fleet.Json, log: str, settings: fleet.Json, sockets: int = 1024
+) -> Iterator[Gateway]:
     """One gateway, ready. Killed at the end: how it stops is no matter of capacity."""
-    made = Gateway(where, "n1", known, log, settings)
+    made = Gateway(where, "n1", known, log, settings, sockets)
     try:
         yield made.ready()
     finally:
--- /dev/null
+++ b/hallproxy/lab/capacity/purges.py
@@ -0,0 +1,130 @@
+"""What purges cost a gateway: those it holds, those it hears, the own copies it looks through for each."""
+
+import gc
+import json
+import statistics
+import time
+import tracemalloc
+
+from hallproxy.lab.capacity import fleet
+from hallproxy.lab.capacity.lists import NOW, Gateway
+from hallproxy.lab.capacity.registry import Measured, MeasurementError, Quantity, Run, measurement
+from hallproxy.state.bounds import MB
+from hallproxy.state.copies import Copy
+from hallproxy.state.purges import NEVER, PURGES_MAX, Purges
+
+RATE = 180  # purges a second at the operators' size
+ROUNDS = 3  # the median of so many is the figure
+
+
+@measurement(
+    name="purges.held", role="purge", x="objects", sizes=(1_000, 4_000, 8_192, 20_000), tiny=(10, 20, 40, 80),
+    title=f"The table of purges after so many objects were told, {RATE} a second: bounded at {PURGES_MAX:,}, "
+    "over that the oldest becomes a floor under every object; floor_age: how long before the last it is",
+    quantities=(Quantity("memory_kb", "KB", fitted=False), Quantity("add_us", "us", fitted=False),
+                Quantity("lookup_us", "us", fitted=False), Quantity("held", "", fitted=False),
+                Quantity("floor_reached", "", fitted=False), Quantity("floor_age_s", "s", fitted=False)),
+)  # fmt: skip
+def held(size: float, run: Run) -> Measured:
+    many = int(size)
+    idents = [run.random.getrandbits(63) | 1 for _ in range(many)]
+    times = [NOW + n * fleet.SECOND // RATE for n in range(many)]
+    adds, lookups = [], []
+    for _ in range(1 if run.tiny else ROUNDS):
+        purges = Purges()
+        began = time.process_time()
+        for ident, at in zip(idents, times, strict=True):
+            purges.add(ident, 0, at)
+        adds.append((time.process_time() - began) / many * 1e6)
+        began = time.process_time()
+        for ident in idents:
+            purges.last(ident, 0)
+        lookups.append((time.process_time() - began) / many * 1e6)
+    gc.collect()
+    tracemalloc.start()
+    again = Purges()
+    for ident, at in zip(idents, times, strict=True):
+        again.add(ident, 0, at)
+    used = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    never_told = 1 << 64
+    floor, over = purges.floor[0], max(0, many - PURGES_MAX)
+    if len(purges.objects) != min(many, PURGES_MAX) or purges.last(never_told, 0) != floor:
+        raise MeasurementError(f"{len(purges.objects)} of {many} purges are held, floor {floor}")
+    if floor != (times[over - 1] if over else NEVER[0]):
+        raise MeasurementError(f"the floor is {floor} after {over} purges that had no room")
+    if any(purges.last(ident, 0) < at for ident, at in zip(idents, times, strict=True)):
+        raise MeasurementError("a purge that was told is not known any more")
+    return {
+        "memory_kb": used / 1e3,
+        "add_us": statistics.median(adds),
+        "lookup_us": statistics.median(lookups),
+        "held": float(len(purges.objects)),
+        "floor_reached": float(over > 0),
+        "floor_age_s": (times[-1] - floor) / 1e9 if over else None,
+    }
+
+
+def _page(many: int, run: Run, seq: int) -> bytes:
+    told = [fleet.purge(run.random.getrandbits(63) | 1, NOW // fleet.MS + n, n % 256) for n in range(many)]
+    return json.dumps(fleet.page(told, seq)).encode()
+
+
+def _event_us(gateway: Gateway, pages: int, many: int, run: Run) -> float:
+    """The median over pages of the mean µs of one event in it."""
+    spent = []
+    for _ in range(pages):
+        raw = _page(many, run, gateway.heard + many)
+        spent.append(gateway.hear(raw) / many * 1e6)
+    return statistics.median(spent)
+
+
+@measurement(
+    name="purges.events", role="purge", x="events", x_unit="a page", sizes=(1, 10, 100, 1_000),
+    tiny=(1, 2, 5, 10),
+    title="Processor time of decoding and reducing one purge, by how many come in one page of the change "
+    "log; no own copies are held",
+    quantities=(Quantity("event_us", "us", fitted=False), Quantity("page_us", "us"),
+                Quantity("event_bytes", "bytes", fitted=False)),
+)  # fmt: skip
+def events(size: float, run: Run) -> Measured:
+    many = int(size)
+    gateway = Gateway(run.seed)
+    pages = 2 if run.tiny else max(7, 2_000 // many)
+    event = _event_us(gateway, pages, many, run)
+    told = pages * many
+    kept = len(gateway.state.purges.objects)
+    if gateway.heard != told or kept != min(told, PURGES_MAX):
+        raise MeasurementError(f"{kept} purges are held after {told}, number {gateway.heard}")
+    return {
+        "event_us": event,
+        "page_us": event * many,
+        "event_bytes": len(_page(many, run, many)) / many,
+    }
+
+
+@measurement(
+    name="purges.copies", role="purge", x="copies", sizes=(100, 1_000, 4_000, 16_000), tiny=(10, 20, 40, 80),
+    title="The same, ten to a page, by the own copies held: each purge looks through all of them (a limit of "
+    f"256 MB lets a gateway hold 38 MB of own copies); core_percent: at {RATE} purges a second",
+    quantities=(Quantity("event_us", "us"), Quantity("core_percent", "%")),
+)  # fmt: skip
+def copies(size: float, run: Run) -> Measured:
+    many = int(size)
+    gateway = Gateway(run.seed)
+    state = gateway.state
+    state.copies.resize(256 * MB * 3 // 20)
+    for n in range(many):
+        state.copies.put((0, n + 1 << 64, 0), Copy(b"%0512d" % n, "t", NOW, n % 256, 1 + n % 3))
+    if sum(map(len, state.copies.ranks)) != many:
+        raise MeasurementError(f"{sum(map(len, state.copies.ranks))} of {many} copies are held")
+    pages = 2 if run.tiny else 9
+    event = _event_us(gateway, pages, 10, run)
+    gone = many - sum(map(len, state.copies.ranks))
+    if gone or len(state.purges.objects) != pages * 10:
+        raise MeasurementError(f"{gone} copies left by purges of other objects")
+    last = fleet.page([fleet.purge(1 << 64, NOW // fleet.MS + 1)], gateway.heard + 1)
+    gateway.hear(json.dumps(last).encode())
+    if sum(map(len, state.copies.ranks)) != many - 1:
+        raise MeasurementError("a purge did not take its object's copy")
+    return {"event_us": event, "core_percent": event * RATE / 1e4}
--- /dev/null
+++ b/hallproxy/lab/capacity/second.py
@@ -0,0 +1,108 @@
+"""What the second front (package repositories) costs: files answered from memory, and projects held.
+
+A front in a process of its own with the operators' deploy file, and a stand-in upstream beside the client.
+"""
+
+import hashlib
+import json
+import socket
+from io import BufferedReader
+from pathlib import Path
+
+from hallproxy.lab.capacity.process import memory_kb, processor_s
+from hallproxy.lab.capacity.registry import Measured, MeasurementError, Quantity, Run, measurement
+from hallproxy.lab.standin import JSON, Stand, front_process, upstream
+
+INDEX_FILES = 10
+
+
+def index_of(project: str, files: dict[str, bytes]) -> bytes:
+    entries = [
+        {
+            "filename": name,
+            "url": f"/pool/{name}",
+            "hashes": {"sha256": hashlib.sha256(body).hexdigest()},
+            "size": len(body),
+        }
+        for name, body in files.items()
+    ]
+    return json.dumps({"meta": {"api-version": "1.0"}, "name": project, "files": entries}).encode()
+
+
+class Kept:
+    """One kept connection of a client. A bare socket: the library's takes longer than the front does."""
+
+    def __init__(self, port: int) -> None:
+        self._made = socket.create_connection(("127.0.0.1", port), 30)
+        self._file: BufferedReader = self._made.makefile("rb", buffering=1 << 20)
+
+    def ask(self, path: str) -> bytes:
+        """The body of a 200; raises MeasurementError at any other answer."""
+        self._made.sendall(f"GET {path} HTTP/1.1\r\nHost: x\r\nAccept: {JSON}\r\n\r\n".encode())
+        status, length = self._file.readline().split(), 0
+        if len(status) < 2 or status[1] != b"200":
+            raise MeasurementError(f"{path}: {status}")
+        while (line := self._file.readline()) not in (b"\r\n", b""):
+            if line.lower().startswith(b"content-length:"):
+                length = int(line.split(b":")[1])
+        return self._file.read(length)
+
+    def close(self) -> None:
+        self._file.close()
+        self._made.close()
+
+
+@measurement(
+    name="second.files", role="repository", x="file", x_unit="KB", sizes=(10, 100, 1_000, 5_000),
+    tiny=(1, 10, 50, 100), minutes=1.0,
+    title="Processor time of a file that the second front has in memory, on one kept connection; KB of 1,000 "
+    "bytes. With its 64 MB of copies a file of over 16 MB is never in memory",
+    quantities=(Quantity("core_us", "us"),),
+)  # fmt: skip
+def files(size: float, run: Run) -> Measured:
+    name = "many-1.0-py3-none-any.whl"
+    body = run.random.randbytes(int(size * 1_000))
+    many = 20 if run.tiny else 2_000 if size <= 100 else 300
+    text = upstream({name: body, "many": index_of("many", {name: body})})
+    before = Stand.asked
+    with front_process(Path(run.where), text) as (port, pid):
+        client = Kept(port)
+        url = json.loads(client.ask("/simple/many/"))["files"][0]["url"]
+        for _ in range(3 if run.tiny else 50):
+            client.ask(url)
+        began = processor_s(pid)
+        wrong = sum(client.ask(url) != body for _ in range(many))
+        spent = processor_s(pid) - began
+        client.close()
+    if wrong or Stand.asked - before != 1:
+        asked = Stand.asked - before
+        raise MeasurementError(f"{wrong} of {many} answers are wrong, upstream was asked {asked} times")
+    return {"core_us": spent / many * 1e6}
+
+
+@measurement(
+    name="second.projects", role="repository", x="projects", sizes=(100, 400, 1_600, 6_400),
+    tiny=(2, 4, 8, 16),
+    title=f"Resident memory of the second front with so many projects' indexes held, {INDEX_FILES} files each "
+    "(250,000 files and 16 MB of served forms are its bounds), and processor time of the first answer of one",
+    quantities=(Quantity("memory_kb", "KB"), Quantity("core_us", "us")), minutes=1.0,
+)  # fmt: skip
+def projects(size: float, run: Run) -> Measured:
+    many = int(size)
+    bodies = {}
+    for n in range(many):
+        held = {f"p{n}-1.{k}-py3-none-any.whl": b"%d.%d" % (n, k) for k in range(INDEX_FILES)}
+        bodies[f"p{n}"] = index_of(f"p{n}", held)
+    text = upstream(bodies)
+    with front_process(Path(run.where), text) as (port, pid):
+        client = Kept(port)
+        began, short = processor_s(pid), 0
+        for n in range(many):
+            said = json.loads(client.ask(f"/simple/p{n}/"))
+            short += said["name"] != f"p{n}" or len(said["files"]) != INDEX_FILES
+        spent = processor_s(pid) - began
+        resident = memory_kb(pid)
+        client.close()
+    if short:
+        raise MeasurementError(f"{short} of {many} indexes lack files or are another project's")
+    return {"memory_kb": resident, "core_us": spent / many * 1e6}
--- a/hallproxy/lab/standin.py
+++ b/hallproxy/lab/standin.py
@@ -49,6 +49,13 @@
 @contextmanager
 def front(where: Path, text: str) -> Iterator[int]:
     """A front with that deploy file; its port."""
+    with front_process(where, text) as (port, _):
+        yield port
+
+
+@contextmanager
+def front_process(where: Path, text: str) -> Iterator[tuple[int, int]]:
+    """The same; its port and the id of its process."""
     (where / "r.toml").write_text(text)
     process = subprocess.Popen(
         [sys.executable, "-m", "hallproxy", "repository", str(where / "r.toml")],
@@ -60,7 +67,7 @@
     said_so = next(line for line in process.stderr if " listens on " in line)
     threading.Thread(target=process.stderr.read, daemon=True).start()
     try:
-        yield int(said_so.rsplit(":", 1)[1])
+        yield int(said_so.rsplit(":", 1)[1]), process.pid
     finally:
         process.terminate()
         process.wait(timeout=15)
