--- a/tests/test_capacity_measures.py
+++ b/tests/test_capacity_measures.py
@@ -6,6 +6,7 @@
 import json
 import os
 import random
+import socket
 import time
 from collections import Counter
 from collections.abc import Callable
@@ -23,6 +24,7 @@
 from hallproxy.wire import frames
 from hallproxy.wire.bench import member_from_json
 from hallproxy.wire.changelog import ChangeError
+from tests.gateway import Listener
 
 
 def tiny(where: Path, seed: int = 7) -> Run:
@@ -198,6 +200,38 @@
             pass
 
 
+AWAY = b"HTTP/1.1 503 X\r\nRetry-After: 1\r\nContent-Length: 2\r\n\r\nno"
+GOOD = b"HTTP/1.1 200 X\r\nContent-Length: 3\r\n\r\nyes"
+
+
+@pytest.mark.parametrize(
+    "answers, wrong",
+    [
+        ([AWAY, GOOD], ""),
+        ([AWAY.replace(b"Retry-After: 1", b"X-Other: 1"), GOOD], "503"),
+        ([AWAY.replace(b"503", b"404"), GOOD], "404"),
+        ([b""], "ended"),
+    ],
+)
+def test_only_a_request_that_is_told_when_to_come_back_is_asked_again(
+    answers: list[bytes], wrong: str
+) -> None:
+    def serve(made: socket.socket) -> None:
+        for answer in answers:
+            made.recv(4096)
+            made.sendall(answer)
+
+    listener = Listener(serve)
+    client = second.Kept(int(listener.address.rpartition(":")[2]))
+    if wrong:
+        with pytest.raises(MeasurementError, match=wrong):
+            client.ask("/")
+    else:
+        assert client.ask("/") == b"yes" and client.away == 1
+    client.close()
+    listener.close()
+
+
 def test_an_index_lists_its_files_by_digest() -> None:
     said = json.loads(second.index_of("p", {"p-1.whl": b"x"}))
     assert said["name"] == "p" and [file["size"] for file in said["files"]] == [1]
