--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -248,6 +248,8 @@
 
 def test_shares_of_a_core_go_by_their_unit() -> None:
     assert slopes_of(lambda x: x, "%").of(Need("m", "y")).cores(2.0) == pytest.approx(0.02)
+    assert slopes_of(lambda x: x, "% of each relay").of(Need("m", "y")).cores(2.0) == pytest.approx(0.02)
+    assert slopes_of(lambda x: x, "us/s").of(Need("m", "y")).cores(2.0) == pytest.approx(2e-6)
     with pytest.raises(KeyError):
         slopes_of(lambda x: x, "MB").of(Need("m", "y")).cores(2.0)
 
@@ -289,9 +291,10 @@
 
 AWAITED = {
     "configuration.gateways", "control.members", "control.page_events", "control.purge_rate",
-    "decisions.members", "decisions.objects", "decisions.zones", "lists.members", "logs.followers",
-    "logs.pages", "relay.changeover", "relay.followers", "relay.tiers", "second.projects",
-    "second.requests", "serving.body", "serving.rate", "starts.members", "starts.together",
+    "decisions.members", "decisions.objects", "decisions.parents", "decisions.zones",
+    "lists.members", "logs.followers", "logs.pages", "purges.copies", "purges.held",
+    "relay.changeover", "relay.control", "relay.followers", "relay.tiers", "second.files", "second.indexes",
+    "second.projects", "serving.body", "serving.rate", "starts.members", "starts.together",
     "stores.connections",
 }  # fmt: skip
 """Measurements that rows wait for. One that is there is taken out of here."""
