Capacity: the catalogue is in the order of its modules, whichever was imported first

With the measurements' tests in the same run, the tiny run's lines came in another order than the catalogue of the test's process: test_everything_runs_at_a_tiny_size failed there and passes now.

--- a/hallproxy/lab/capacity/catalogue.py
+++ b/hallproxy/lab/capacity/catalogue.py
@@ -18,7 +18,10 @@
 
 
 def catalogue() -> dict[str, Measurement]:
-    """All measurements by name, in the order of `MODULES`."""
-    for module in MODULES:
-        import_module(f"hallproxy.lab.capacity.{module}")
-    return register
+    """All measurements by name, in the order of `MODULES`, whichever of them was imported first."""
+    places = {f"hallproxy.lab.capacity.{module}": place for place, module in enumerate(MODULES)}
+    for name in places:
+        import_module(name)
+    return dict(
+        sorted(register.items(), key=lambda one: places.get(one[1].body.__module__, len(places)))
+    )
