--- a/hallproxy/lab/capacity/changelog.py
+++ b/hallproxy/lab/capacity/changelog.py
@@ -22,7 +22,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from hallproxy.lab.capacity import fleet
+from hallproxy.lab.capacity import control_fleet as fleet
 from hallproxy.lab.capacity.children import Command, connections_most, obey, own_figures, tell
 
 MS = 1_000_000  # ns
--- a/hallproxy/lab/capacity/control.py
+++ b/hallproxy/lab/capacity/control.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from hallproxy.lab.capacity import fleet
+from hallproxy.lab.capacity import control_fleet as fleet
 from hallproxy.lab.capacity.children import Child, Program, cpu_s, memory_mb, until
 from hallproxy.lab.capacity.hollow import FIRST
 from hallproxy.lab.capacity.registry import Measured, MeasurementError, Quantity, Run, measurement
--- a/hallproxy/lab/capacity/fleet.py
+++ b/hallproxy/lab/capacity/fleet.py
@@ -1,141 +1,117 @@
-"""The platform that control's measurements run on: its settings, its list of stores, its purges.
+"""A list of members, and the settings to it, at any size: what the measurements of one gateway are made with.
 
-All of it follows from a size and a seed, so the log, the gateways and whoever counts agree without asking.
+A region is one hub and up to three zones, as in the operators' plan (17 regions, 51 zones). Parents stand in
+their region's first zone, which is its hub; caches are spread over all zones in turn, the own one first.
+One member is the origin. All are warm unless a measurement says otherwise.
 """
 
-from __future__ import annotations
-
+import json
 import random
-import tomllib
-from pathlib import Path
 from typing import Any
 
-ROOT = Path(__file__).parents[3]
-SITE = ROOT / "deploy" / "sites" / "harbour-tiles.toml"
-MS = 1_000_000  # ns
-ZONES, REGIONS = 51, 17
+from hallproxy.interface import Settings
+from hallproxy.wire.bench import settings_from_json
+
+ZONES_OF_HUB = 3
+ZONES = 51
 GATEWAYS = 7_100
-KINDS = ("std", "parent", "origin")
-PARENT_EACH = 25  # stores for one parent
-ADDRESSES_EACH = 250  # stores for one host address; nothing listens there
-
-
-def settings(zone: int = 0) -> dict[str, Any]:
-    """A gateway's settings as its configuration words them, with the site's own classes and rules."""
-    site = tomllib.loads(SITE.read_text("utf-8"))
-    rules, allow, fam = site["rules"], site["allow"], site["fam"]
-    classes = [
-        {
-            "name": entry["name"],
-            "aim_ns": entry["aim_ms"] * MS,
-            "aim_stretch": entry.get("aim_stretch", 0.0),
-            "deadline_ns": entry["deadline_ms"] * MS,
-            "points": entry["worth"],
-            "late_share": entry["late_worth"],
-            "effect": {"safe": "pure", "keyed": "token", "unsafe": "side_effect"}[entry["effect"]],
-            "dedup_scope": entry.get("group", "all"),
-            "key_ttl_ns": entry.get("window_ms", 0) * MS,
-            "stream": False,
-        }
-        for entry in site["class"]
-    ]
-    return {
-        "classes": classes,
-        "zone": zone,
-        "zones": [f"z-{n}" for n in range(ZONES)],
-        "models": list(KINDS),
-        "group_size": GATEWAYS,
-        "me": 0,
-        "membership_mode": "push",
-        "tick_ns": site["day"]["tick_ms"] * MS,
-        "weight_source": "nominal",
-        "feedback": {"names": ["inflight", "x0"], "source": "inline"},
-        "bounds": {
-            "probes": allow["probes"],
-            "cancelling": allow["cancel"],
-            "second_copies": allow["second_copies"],
-            "max_attempts": allow["max_attempts"],
-            "retry_after": allow["retry_after"],
-            "max_retry_after_ns": site["clients"]["max_retry_after_ms"] * MS,
-            "dial_timeout_ns": 600 * MS,
-            "idle_close_ns": 8_000 * MS,
-        },
-        "rules": {
-            "cold_share": 0.3,
-            "cold_ns": 10_000 * MS,
-            "fall_multiple": rules["fall_multiple"],
-            "fall_ns": rules["fall_ms"] * MS,
-            "drain_grace_ns": rules["drain_grace_ms"] * MS,
-            "grace_to_answer_ns": 8 * MS,
-            "must_ask_in_ns": 10_000 * MS,
-        },
-        "specifics": {
-            "class_write": [bool(entry.get("write")) for entry in site["class"]],
-            "multi_part": [True, False, False],
-            "fresh_for_ns": [0, 6_000 * MS, 0],
-            "usable_after_ns": [0] * len(classes),
-            "home_hub": [n // (ZONES // REGIONS) * (ZONES // REGIONS) for n in range(ZONES)],
-            "instances_by_zone": [GATEWAYS // ZONES] * ZONES,
-            "inlet_kb_per_s": [0.0] * ZONES,
-            "pace_kb_per_s": 6_000.0,
-            "detail": "off",
-            "peers_fill": "any",
-            "joins": fam["joins"],
-            "may_pass_by": fam["direct"],
-            "store_kind": KINDS.index("origin"),
-            "upper_kind": KINDS.index("parent"),
-            "upper_cold_from": 0.1,
-            "parent_warms_in_ns": 15_000 * MS,
-            "parent_breaks_at": fam["parent_fall_multiple"],
-            "origin_stops_at": fam["origin_fall_multiple"],
-            "purge_grace_ns": fam["purge_grace_ms"] * MS,
-            "gone_everywhere_ns": int(fam["purge_done_s"] * 1000) * MS,
-        },
-    }
-
-
-def store(number: int, started: int = 0) -> dict[str, Any]:
-    """One line of the list. Store 0 is the origin, and one of each 25 is a parent."""
-    kind = "origin" if number == 0 else "parent" if number % PARENT_EACH == 1 else "std"
-    host, port = divmod(number, ADDRESSES_EACH)
+CACHES_A_PARENT = 3.45
+"""The middle of `per_parent` in both files of deploy/sites (2.7 to 4.2, 2.5 to 4.4)."""
+
+MS = 1_000_000  # ns
+SECOND = 1_000_000_000  # ns
+Json = dict[str, Any]
+
+
+def hub_of(zone: int) -> int:
+    return zone - zone % ZONES_OF_HUB
+
+
+def hubs_of(zones: int) -> list[int]:
+    return sorted({hub_of(zone) for zone in range(zones)})
+
+
+def parents_of(members: int) -> int:
+    """How many of so many members are parents, where a measurement doesn't set it."""
+    return max(1, round((members - 1) / (1 + CACHES_A_PARENT)))
+
+
+def settings_json(zones: int = ZONES, gateways: int = GATEWAYS, aim_ms: int = 400) -> Json:
+    """The settings as the configuration words them; the gateways stand evenly in the zones."""
+    named = {"aim_ns": aim_ms * MS, "aim_stretch": 2.0, "deadline_ns": 10 * SECOND, "dedup_scope": "all",
+             "effect": "pure", "key_ttl_ns": 5 * SECOND, "late_share": 0.15, "points": 2.0,
+             "stream": False}  # fmt: skip
     return {
-        "instanceId": f"s-{number}",
-        "hostPort": f"127.0.{host + 1}.1:{10_000 + port}",
-        "zone": f"z-{number % ZONES}",
-        "machineType": kind,
-        "cell": number // ZONES,
-        "lifecycle": "Ready",
-        "weight": 4.0,
-        "startedAtMs": started,
-    }
-
-
-def list_event(members: int) -> dict[str, Any]:
-    """The whole list, as the first event of the log tells it."""
-    return {"generation": 1, "reset": True, "instances": [store(n) for n in range(members)]}
-
-
-class Purged:
-    """The objects that are purged, in their order: the same for the same seed, and none of them twice."""
-
-    def __init__(self, seed: int) -> None:
-        self._drawn = random.Random(seed)
-        self._objects: list[int] = []
-        self._places: dict[int, int] = {}
-
-    def __getitem__(self, place: int) -> int:
-        while len(self._objects) <= place:
-            self._draw()
-        return self._objects[place]
-
-    def place(self, obj: int, most: int) -> int | None:
-        """Its place in the order; None if it is not among the first ``most``."""
-        while obj not in self._places and len(self._objects) < most:
-            self._draw()
-        return self._places.get(obj)
-
-    def _draw(self) -> None:
-        obj = self._drawn.getrandbits(64)
-        if obj and obj not in self._places:  # an object of 0 would stand for a group
-            self._places[obj] = len(self._objects)
-            self._objects.append(obj)
+        "bounds": {"cancelling": True, "dial_timeout_ns": 2 * SECOND, "max_attempts": 6, "probes": False,
+                   "max_retry_after_ns": SECOND, "retry_after": True, "second_copies": False,
+                   "idle_close_ns": 60 * SECOND},
+        "classes": [named | {"name": "segment"}, named | {"name": "small"}],
+        "feedback": {"names": [], "source": "off"},
+        "group_size": gateways, "me": 0, "membership_mode": "push", "tick_ns": 2 * MS,
+        "weight_source": "nominal", "zone": 0,
+        "zones": [f"zone-{zone}" for zone in range(zones)], "models": ["std", "parent", "origin"],
+        "rules": {"cold_ns": 15 * SECOND, "cold_share": 0.2, "drain_grace_ns": 500 * MS, "fall_multiple": 3.0,
+                  "fall_ns": SECOND, "grace_to_answer_ns": 8 * MS, "must_ask_in_ns": 10 * SECOND},
+        "specifics": {"class_write": [False, False], "detail": "off", "fresh_for_ns": [0, 0],
+                      "gone_everywhere_ns": 6 * SECOND, "home_hub": [hub_of(zone) for zone in range(zones)],
+                      "inlet_kb_per_s": [0.0] * zones, "joins": True, "may_pass_by": False,
+                      "instances_by_zone": [gateways // zones + (z < gateways % zones) for z in range(zones)],
+                      "multi_part": [True, False], "origin_stops_at": 0.0, "pace_kb_per_s": 9200.0,
+                      "parent_breaks_at": 2.0, "parent_warms_in_ns": 22 * SECOND, "peers_fill": "any",
+                      "purge_grace_ns": 300 * MS, "store_kind": 2, "upper_cold_from": 0.06,
+                      "upper_kind": 1, "usable_after_ns": [0, 0]},
+    }  # fmt: skip
+
+
+def settings(zones: int = ZONES, gateways: int = GATEWAYS) -> Settings:
+    return settings_from_json(json.dumps(settings_json(zones, gateways)).encode())
+
+
+def lines(
+    members: int, drawn: random.Random, zones: int = ZONES, parents: int | None = None, address: str = ""
+) -> list[Json]:
+    """The list as the change log words it, in a drawn order; ids are new with each draw.
+
+    ``address`` is everybody's; empty: each has one of its own. Raises ValueError for a list that has no room
+    for a cache beside its origin and parents.
+    """
+    parents = parents_of(members) if parents is None else parents
+    caches, hubs = members - 1 - parents, hubs_of(zones)
+    if caches < 1 or parents < 0:
+        raise ValueError(f"{members} members of which {parents} are parents")
+    idents = drawn.sample(range(1 << 32), members)
+    made = [_line(f"o-{idents[0]:08x}", "origin", 0, 60.0)]
+    made += [_line(f"p-{idents[1 + n]:08x}", "parent", hubs[n % len(hubs)], drawn.choice((20.5, 40.0, 58.0)))
+             for n in range(parents)]  # fmt: skip
+    made += [_line(f"s-{idents[1 + parents + n]:08x}", "std", n % zones, drawn.choice((8.0, 10.0, 12.0)))
+             for n in range(caches)]  # fmt: skip
+    for n, line in enumerate(made):
+        line["hostPort"] = address or f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}:8080"
+    drawn.shuffle(made)
+    return made
+
+
+def _line(ident: str, kind: str, zone: int, weight: float) -> Json:
+    return {"instanceId": ident, "hostPort": "", "zone": f"zone-{zone}", "machineType": kind, "cell": 0,
+            "lifecycle": "Ready", "weight": weight, "startedAtMs": 0}  # fmt: skip
+
+
+def page(entries: list[Json], seq: int | None = None) -> Json:
+    """One page of the change log: its events in order, numbered up to ``seq`` (as many as there are)."""
+    last = len(entries) if seq is None else seq
+    first = last - len(entries) + 1
+    return {"seq": last, "results": [{"seq": first + n, **entry} for n, entry in enumerate(entries)]}
+
+
+def whole(listed: list[Json], generation: int = 1) -> Json:
+    return {"fleet": {"generation": generation, "reset": True, "instances": listed}}
+
+
+def change(line: Json, generation: int = 2, **changed: Any) -> Json:
+    """The news of one member's line: as it is, but for what has changed."""
+    return {"fleet": {"generation": generation, "reset": False, "instances": [line | changed]}}
+
+
+def purge(obj: int, time_ms: int, group: int = 0) -> Json:
+    """An object's purge; with ``obj`` 0 the whole group's."""
+    return {"invalidate": {"object": f"{obj:016x}" if obj else "", "bucket": group, "time": time_ms}}
--- a/hallproxy/lab/capacity/hollow.py
+++ b/hallproxy/lab/capacity/hollow.py
@@ -29,7 +29,7 @@
 from typing import Any, Self
 
 from hallproxy.feed.choice import Choice
-from hallproxy.lab.capacity import fleet
+from hallproxy.lab.capacity import control_fleet as fleet
 from hallproxy.lab.capacity.children import Command, connections_most, obey, own_figures, tell
 from hallproxy.logic import Router
 from hallproxy.run import changelog
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -289,12 +289,7 @@
         yield from (*one.until.needs, *one.cost.needs)
 
 
-AWAITED = {
-    "configuration.gateways", "decisions.members", "decisions.objects", "decisions.parents",
-    "decisions.zones", "lists.members", "purges.copies", "purges.held", "second.files", "second.indexes",
-    "second.projects", "serving.body", "serving.rate", "starts.members", "starts.together",
-    "stores.connections",
-}  # fmt: skip
+AWAITED = {"configuration.gateways"}
 """Measurements that rows wait for. One that is there is taken out of here."""
 
 
