--- a/tests/test_capacity_control.py
+++ b/tests/test_capacity_control.py
@@ -18,7 +18,8 @@
 
 import pytest
 
-from hallproxy.lab.capacity import children, control, fleet, hollow, logs, relay
+from hallproxy.lab.capacity import children, control, hollow, logs, relay
+from hallproxy.lab.capacity import control_fleet as fleet
 from hallproxy.lab.capacity.children import Child
 from hallproxy.lab.capacity.registry import MeasurementError, Run
 from hallproxy.state.events import PurgeTold
