Gateways and relays under measurement go with the process that measures

The stand-in log and hollow gateways end with their input; a real program reads none, and outlived a measurement that was killed (seen: the test with a relay fails without the guard). It is killed when its starter's thread ends (prctl PR_SET_PDEATHSIG).

--- a/hallproxy/lab/capacity/children.py
+++ b/hallproxy/lab/capacity/children.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import json
 import os
 import queue
 import resource
+import signal
 import subprocess
 import sys
 import threading
@@ -164,13 +166,31 @@
                 raise
 
 
+_LIBC = ctypes.CDLL(None, use_errno=True)
+_PR_SET_PDEATHSIG = 1  # linux/prctl.h
+
+
+def _with_parent() -> None:
+    """In the process that is to be the program: it is killed when the thread that started it ends.
+
+    Guards a measurement that is killed: the program reads no standard input that would tell it.
+    """
+    if _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL, 0, 0, 0):
+        raise OSError(ctypes.get_errno(), "prctl")
+
+
 class Program:
     """One process of `python -m hallproxy`, ready once it says that it listens."""
 
     def __init__(self, *args: str, ready: str = " listens on ", **environ: str) -> None:
         env = {k: v for k, v in os.environ.items() if not k.startswith("EDGE_")} | environ
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "hallproxy", *args], cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True
+            [sys.executable, "-m", "hallproxy", *args],
+            cwd=ROOT,
+            env=env,
+            stderr=subprocess.PIPE,
+            text=True,
+            preexec_fn=_with_parent,
         )
         self.lines: deque[str] = deque(maxlen=LINES_MOST)
         self._ready, self._word, self._where = threading.Event(), ready, ""
--- a/tests/test_capacity_control.py
+++ b/tests/test_capacity_control.py
@@ -5,6 +5,7 @@
 import gzip
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -246,16 +247,21 @@
         return False
 
 
-def test_no_process_is_left_when_who_started_it_is_killed() -> None:
-    """A log and its followers, by a parent that dies without a word while purges come."""
+def test_no_process_is_left_when_who_started_it_is_killed(tmp_path: Path) -> None:
+    """A log, a relay and followers, by a parent that dies without a word while purges come."""
+    path = tmp_path / "relay.toml"
     text = (
-        "import time\n"
-        "from hallproxy.lab.capacity.children import Child\n"
+        "import pathlib, time\n"
+        "from hallproxy.lab.capacity.children import Child, Program\n"
         "log = Child('changelog', '--members', 20).ready()\n"
         "at = log.told['address']\n"
         "words = '--at', at, '--gateways', 3, '--members', 20\n"
         "made = [Child('hollow', *words), Child('hollow', *words, '--light')]\n"
         "for one in made: one.ready()\n"
+        "text = f'name = \"r\"\\nlisten = \"127.0.0.1:0\"\\nupstream = [\"{at}\"]\\n'\n"
+        f"pathlib.Path({str(path)!r}).write_text(text)\n"
+        f"made.append(Program('relay', {str(path)!r}))\n"
+        "made[-1].listens()\n"
         "log.command('purge', rate=200, count=5000)\n"
         "print(log.pid, *(one.pid for one in made), flush=True)\n"
         "time.sleep(60)\n"
@@ -263,11 +269,15 @@
     parent = subprocess.Popen([sys.executable, "-c", text], cwd=ROOT, stdout=subprocess.PIPE, text=True)
     assert parent.stdout is not None
     pids = [int(word) for word in parent.stdout.readline().split()]
-    assert len(pids) == 3 and all(alive(pid) for pid in pids)
+    assert len(pids) == 4 and all(alive(pid) for pid in pids)
     parent.kill()
     parent.wait()
     parent.stdout.close()
-    until(lambda: not any(alive(pid) for pid in pids))
+    try:
+        until(lambda: not any(alive(pid) for pid in pids))
+    finally:
+        for pid in filter(alive, pids):
+            os.kill(pid, signal.SIGKILL)
 
 
 def test_a_process_ends_by_itself_after_its_time(started: Callable[..., Child]) -> None:
