--- a/hallproxy/lab/capacity/relay.py
+++ b/hallproxy/lab/capacity/relay.py
@@ -1,6 +1,6 @@
 """What relays carry, and what following them costs: real relays between the stand-in log and hollow gateways.
 
-All follow with gzip, as `--change-logs` makes a gateway do. Up to `HOLLOW_MOST_PAGES` followers are hollow
+All follow with gzip, as `--change-logs` makes a gateway do. Up to `RELAY_HOLLOW` followers are hollow
 gateways in all, any more poll and count alone.
 """
 
@@ -17,7 +17,6 @@
 from hallproxy.lab.capacity.logs import (
     FOLLOWER_QUANTITIES,
     FULLEST,
-    HOLLOW_MOST_PAGES,
     LATE,
     MEMBERS,
     MEMBERS_TINY,
@@ -32,7 +31,8 @@
 OTHERWISE = "whole", "behind", "bad", "turned_away"  # answers that nobody is to get
 BURST = 100  # ms in which connects are counted together
 TIER_FOLLOWERS = 200  # of each relay below the top, ...
-TIER_HOLLOW = 100  # ...so many of them hollow gateways
+RELAY_HOLLOW = 800  # hollow gateways, at most, in all processes of a measurement
+RELAY_PROCESSES = 6  # of them: the log and the relay have the other two cores of the machine measured on
 CHANGEOVER_FOLLOWERS = 400  # of all relays
 
 
@@ -132,8 +132,9 @@
     with ExitStack() as stack:
         log = log_of(run, stack)
         relay = Relay(run, stack, "top", [log.told["address"]], gather_of(run)).ready()
-        most = 4 if run.tiny else HOLLOW_MOST_PAGES
-        asking = Followers(run, stack, [relay.address], count, most, "--gzip")
+        most = 4 if run.tiny else RELAY_HOLLOW
+        parts = 1 if run.tiny else RELAY_PROCESSES
+        asking = Followers(run, stack, [relay.address], count, most, "--gzip", parts=parts)
         relay.begin()
         reports, took = told(log, asking, run)
         cpu, answers = relay.cpu, relay.answers()
@@ -170,13 +171,14 @@
 )
 def tiers(size: float, run: Run) -> Measured:
     below = int(size)
-    each, gateways = (2, 2) if run.tiny else (TIER_FOLLOWERS, TIER_HOLLOW)
+    each = 2 if run.tiny else TIER_FOLLOWERS
+    parts = below if run.tiny else 2 * below  # of 100 hollow gateways each
     with ExitStack() as stack:
         log = log_of(run, stack)
         top = Relay(run, stack, "top", [log.told["address"]], gather_of(run)).ready()
         relays = ready([Relay(run, stack, f"below-{n}", [top.address], 0) for n in range(below)])
         addresses = [relay.address for relay in relays]
-        asking = Followers(run, stack, addresses, each * below, gateways * below, "--gzip", parts=below)
+        asking = Followers(run, stack, addresses, each * below, each * below, "--gzip", parts=parts)
         for relay in (top, *relays):
             relay.begin()
         reports, took = told(log, asking, run)
@@ -233,7 +235,8 @@
         above = [log.told["address"]]
         relays = ready([Relay(run, stack, f"r-{n}", above, gather_of(run)) for n in range(int(size))])
         addresses = ",".join(relay.address for relay in relays)
-        asking = Followers(run, stack, [addresses], many, many, "--gzip")
+        parts = 1 if run.tiny else RELAY_PROCESSES
+        asking = Followers(run, stack, [addresses], many, many, "--gzip", parts=parts)
         asking.begin()
 
         def at_each() -> list[int]:
