--- a/tests/relays.py
+++ b/tests/relays.py
@@ -364,11 +364,13 @@
     port: int = 0
 
     def write(self, **changed: Any) -> None:
-        said = {"name": self.name, "listen": f"127.0.0.1:{self.port}", "upstream": self.upstreams}
+        """The file, with these words changed."""
+        said = {"name": self.name, "listen": f"127.0.0.1:{self._asked}", "upstream": self.upstreams}
         text = "".join(f"{k} = {toml(v)}\n" for k, v in (said | self.more | changed).items())
         (self.path / f"{self.name}.toml").write_text(text)
 
     def start(self) -> Relay:
+        self._asked = self.port  # a reload must find the same address to listen on
         self.write()
         self.program = Program("relay", str(self.path / f"{self.name}.toml"))
         self.port = self.program.port
@@ -422,6 +424,31 @@
         return (int(parts[11]) + int(parts[12])) / os.sysconf("SC_CLK_TCK")
 
 
+class Tunnel:
+    """Another address of the same server: what comes is passed on, byte by byte."""
+
+    def __init__(self, port: int) -> None:
+        self._port = port
+        self._listener = Listener(self._pass_on)
+        self.address = self._listener.address
+
+    def _pass_on(self, made: socket.socket) -> None:
+        with socket.create_connection(("127.0.0.1", self._port)) as other:
+            threading.Thread(target=_pump, args=(other, made), daemon=True).start()
+            _pump(made, other)
+
+    def close(self) -> None:
+        self._listener.close()
+
+
+def _pump(source: socket.socket, sink: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        while data := source.recv(65_536):
+            sink.sendall(data)
+    with contextlib.suppress(OSError):
+        sink.shutdown(socket.SHUT_WR)
+
+
 def run(*args: str) -> subprocess.CompletedProcess[str]:
     """The program with these arguments, to its end."""
     env = {k: v for k, v in os.environ.items() if not k.startswith("EDGE_")}
--- /dev/null
+++ b/tests/test_relay_failures.py
@@ -0,0 +1,1298 @@
+"""A relay of the change log when something fails, on real sockets: its upstream, its followers, itself.
+
+Each docstring names the guard without which the test fails.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import gzip
+import json
+import signal
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests import relays
+from tests.gateway import Http, Platform, member, now_ms, ok, response, until
+from tests.relays import (
+    GROUPS,
+    Answer,
+    Follower,
+    Line,
+    Log,
+    Relay,
+    Stream,
+    Tunnel,
+    Way,
+    all_hold,
+    body,
+    is_whole,
+    members,
+    purge,
+    raw,
+    results,
+    run,
+)
+from tests.test_crossings import stopped
+
+SOON = 2.4  # s in which a purge is to be held everywhere
+CURRENT = 1_500  # ms: `current_ms` where a test waits until a relay is not current any more
+RING = 512  # the smallest ring that the file may ask for
+MB = 1024 * 1024
+
+Start = Callable[..., Relay]
+
+
+@pytest.fixture
+def log() -> Iterator[Log]:
+    made = Log()
+    made.add(members(member("s-0", "127.0.0.1:1", "std"), reset=True))
+    yield made
+    made.close()
+
+
+@pytest.fixture
+def relay(tmp_path: Path) -> Iterator[Start]:
+    """Start relays: of these logs or addresses, with these words of the file."""
+    started: list[Relay] = []
+
+    def make(*upstreams: Log | str, name: str = "", port: int = 0, **more: Any) -> Relay:
+        addresses = [u if isinstance(u, str) else u.address for u in upstreams]
+        more = {"gather_ms": 50} | more
+        made = Relay(tmp_path, addresses, name or f"r{len(started) + 1}", more, port)
+        started.append(made)
+        return made.start()
+
+    yield make
+    for made in started:
+        if made.program.process.poll() is None:
+            made.program.process.kill()
+        made.program.wait()  # no traceback in what it said, either
+
+
+@pytest.fixture
+def follow() -> Iterator[Callable[..., list[Follower]]]:
+    """Followers by hand; that none of them met a gap or an event twice is looked at in the end."""
+    begun: list[Follower] = []
+
+    def make(count: int, *ports: int, since: int = 0) -> list[Follower]:
+        # each has its own first one
+        made = [Follower([*ports[n % len(ports) :], *ports[: n % len(ports)]], since) for n in range(count)]
+        begun.extend(made)
+        return made
+
+    yield make
+    for one in begun:
+        one.end()
+    for one in begun:
+        one.stop()
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        port: int = sock.getsockname()[1]
+    return port
+
+
+def purged(follower: Follower) -> list[int]:
+    """The numbers of the object purges that it was told, in their order."""
+    gone = [(seq, e["invalidate"]) for seq, e, _ in follower.told if "invalidate" in e]
+    return [seq for seq, what in gone if what.get("object")]
+
+
+def slowest(follower: Follower) -> int:
+    """The longest time (ms) from an object's purge to its being held."""
+    gone = [(e["invalidate"], at) for _, e, at in follower.told if "invalidate" in e]
+    return max(int(at - what["time"]) for what, at in gone if what.get("object"))
+
+
+# 1. A relay is killed -----------------------------------------------------------------------------------
+
+
+def test_a_relay_killed_under_purges_loses_and_doubles_nothing(
+    relay: Start, log: Log, follow: Callable[..., list[Follower]]
+) -> None:
+    """Guard: one numbering for all relays, so that who comes from another one goes on from what it holds."""
+    one, two = relay(log), relay(log)
+    followers = follow(20, one.port, two.port)
+    stream = Stream(log, 180)
+    until(lambda: stream.told(180))
+    one.kill()
+    held = log.last
+    until(lambda: log.last >= held + 180)
+    last = stream.stop()
+    all_hold(followers, last)
+    for follower in followers:
+        follower.stop()
+        assert not follower.wholes
+        assert purged(follower) == list(range(2, last + 1))
+        assert slowest(follower) < SOON * 1000
+
+
+# 2. It comes back from nothing --------------------------------------------------------------------------
+
+
+def test_a_relay_that_begins_anew_tells_a_whole_page_and_leaves_no_gap(relay: Start, log: Log) -> None:
+    """Guard: the ring's first number; who holds less than that gets the whole page, not the ring."""
+    first = relay(log, ring_events=RING)
+    log.add(*(purge(n) for n in range(2, 1_001)))
+    until(lambda: first.holds(1_000))
+    first.kill()
+    again = relay(log, name=first.name, port=first.port, ring_events=RING)
+    until(again.current)
+    log.add(purge(1_001))
+    until(lambda: again.holds(1_001))
+    for since in (0, 1, 17, 1_000 - RING):
+        got = again.ask(since)
+        assert is_whole(got.events) and got.numbers[-1] == 1_001
+        listed = got.events[0]["fleet"]["instances"]
+        assert [line["instanceId"] for line in listed] == ["s-0"]
+    assert again.ask(1_001 - RING).numbers == list(range(1_002 - RING, 1_002))
+    assert again.ask(1_000).numbers == [1_001]
+    assert again.ask(1_001).numbers == []
+
+
+@pytest.mark.parametrize("since", [302, 10**6, 10**17])
+def test_who_holds_a_number_that_was_never_given_out_gets_a_whole_page(
+    relay: Start, log: Log, since: int
+) -> None:
+    """Guard: a number above the last one is of another life. Without it that follower waits for ever."""
+    log.add(*(purge(n) for n in range(2, 302)))
+    one = relay(log)
+    until(lambda: one.holds(301))
+    got = one.ask(since, 5_000)
+    assert is_whole(got.events) and got.numbers[-1] == 301
+    assert got.numbers[0] == 301 - GROUPS
+
+
+def test_the_whole_page_s_purges_are_as_late_as_the_latest_told(relay: Start, log: Log) -> None:
+    """Guard: the latest time of all purges told, not of the last one: they need not come in order."""
+    latest = now_ms()
+    log.add(*(purge(n, latest - 1000) for n in range(2, 200)), purge(200, latest))
+    log.add(*(purge(n, latest - 500) for n in range(201, 1_001)))
+    one = relay(log, ring_events=RING)
+    until(lambda: one.holds(1_000))
+    got = one.ask(1)
+    assert is_whole(got.events)
+    assert {e["invalidate"]["time"] for e in got.events[1:]} == {latest}
+
+
+def test_the_whole_page_s_list_is_folded(relay: Start, log: Log) -> None:
+    """Guard: the fold; changes after the last whole list count, and those that have gone are not in it."""
+    a, b, c = (f"s-{n}" for n in range(3))
+    lines = {x: member(x, "127.0.0.1:1", "std") for x in (a, b, c)}
+    log.begin_anew(members(lines[a], reset=True), members(lines[b], lines[c], generation=2))
+    log.add(members(lines[b] | {"lifecycle": "Terminating"}, generation=3))
+    log.add(members(lines[c] | {"lifecycle": "Gone"}, generation=4))
+    log.add(*(purge(n) for n in range(5, 1_001)))
+    one = relay(log, ring_events=RING)
+    until(lambda: one.holds(1_000))
+    listed = one.ask(1).events[0]["fleet"]["instances"]
+    assert {line["instanceId"]: line["lifecycle"] for line in listed} == {a: "Ready", b: "Terminating"}
+
+
+# 3. Upstream fails --------------------------------------------------------------------------------------
+
+NO_JSON = {
+    "no-json": body(lambda log, since: b"<html>busy</html>"),
+    "half-json": body(lambda log, since: log.page(since)[:-7]),
+    "not-utf8": body(lambda log, since: log.page(since).replace(b"invalidate", b"inv\xff\xfelidate")),
+    "deep-json": body(lambda log, since: b"[" * 100_000),
+    "nothing": body(lambda log, since: b""),
+}
+SHAPES = {
+    "a-list": body(lambda log, since: b"[]"),
+    "null": body(lambda log, since: b"null"),
+    "no-results": body(lambda log, since: b'{"seq": 1}'),
+    "results-null": results(lambda events: [None]),
+    "results-object": body(lambda log, since: b'{"seq": %d, "results": {"seq": 4}}' % log.last),
+    "results-number": body(lambda log, since: b'{"seq": %d, "results": 4}' % log.last),
+    "results-words": results(lambda events: ["a", "b"]),
+    "an-event-of-words": results(lambda events: [*events[:1], {"seq": events[1]["seq"], "fleet": "none"}]),
+}
+TYPES = {
+    "seq-word": results(lambda events: events[1].update(seq="two")),
+    "seq-null": results(lambda events: events[1].update(seq=None)),
+    "seq-list": results(lambda events: events[1].update(seq=[1])),
+    "seq-huge": results(lambda events: events[1].update(seq=10**40)),
+    "seq-negative": results(lambda events: events[1].update(seq=-5)),
+    "seq-inf": body(lambda log, since: b'{"seq": Infinity, "results": [{"seq": Infinity}]}'),
+    "seq-float": results(lambda events: events[1].update(seq=events[1]["seq"] + 0.5)),
+    "seq-twice": results(lambda events: events[1].update(seq=events[0]["seq"])),
+    "time-word": results(lambda events: events[1]["invalidate"].update(time="now")),
+    "time-null": results(lambda events: events[1]["invalidate"].update(time=None)),
+    "time-huge": results(lambda events: events[1]["invalidate"].update(time=10**40)),
+    "time-far": results(lambda events: events[1]["invalidate"].update(time=10**15)),
+    "object-no-hex": results(lambda events: events[1]["invalidate"].update(object="xyz")),
+    "bucket-word": results(lambda events: events[1]["invalidate"].update(object="", bucket="a")),
+    "bucket-256": results(lambda events: events[1]["invalidate"].update(object="", bucket=256)),
+    "bucket-negative": results(lambda events: events[1]["invalidate"].update(object="", bucket=-1)),
+    "list-no-lines": results(lambda events: events[1].update(fleet={"generation": 1})),
+    "list-line-null": results(lambda events: events[1].update(fleet={"instances": [None]})),
+    "list-line-no-id": results(lambda e: e[1].update(fleet={"instances": [{"lifecycle": "Ready"}]})),
+    "list-line-no-state": results(lambda e: e[1].update(fleet={"instances": [{"instanceId": "s"}]})),
+}
+HTTP = {
+    "status-500": raw(response(500, b"no")),
+    "status-204": raw(b"HTTP/1.1 204 X\r\n\r\n"),
+    "status-301": raw(response(301, b"", Location="/elsewhere")),
+    "no-http": raw(b"\x16\x03\x01\x02\x00\r\n\r\n"),
+    "two-lengths": raw(
+        lambda log, since: response(200, log.page(since), Content_Length=str(len(log.page(since)) - 9))
+    ),
+    "negative-length": raw(b"HTTP/1.1 200 X\r\nContent-Length: -5\r\n\r\n{}"),
+    "huge-length": raw(b"HTTP/1.1 200 X\r\nContent-Length: 99999999999\r\n\r\n{}"),
+    "length-and-chunks": raw(
+        b"HTTP/1.1 200 X\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+    ),
+    "bad-chunk": raw(b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n-5\r\n{}\r\n0\r\n\r\n"),
+    "bad-gzip": body(lambda log, since: b"\x1f\x8b\x08" + log.page(since), Content_Encoding="gzip"),
+    "gzip-cut": body(lambda log, since: gzip.compress(log.page(since))[:-9], Content_Encoding="gzip"),
+    "gzip-bomb": body(
+        lambda log, since: gzip.compress(b" " * (64 * MB) + log.page(since), 1),
+        Content_Encoding="gzip",
+    ),
+    "unknown-coding": body(lambda log, since: log.page(since), Content_Encoding="br"),
+    "long-head": raw(b"HTTP/1.1 200 X\r\n" + b"A: b\r\n" * 100_000),
+    "long-line": raw(b"HTTP/1.1 200 " + b"X" * 1_000_000),
+    "age-negative": body(lambda log, since: log.page(since), Age="-5"),
+    "age-word": body(lambda log, since: log.page(since), Age="old"),
+    "hang-up": relays.hang_up,
+    "half-a-page": relays.half,
+    "endless": relays.endless,
+    "trickle": relays.trickle,
+}
+NONSENSE = NO_JSON | SHAPES | TYPES | HTTP
+NO_NEWS = {"a-list", "null", "nothing", "status-204"}
+
+
+@pytest.fixture(scope="module")
+def tried(tmp_path_factory: pytest.TempPathFactory) -> Iterator[tuple[Log, Relay]]:
+    """One relay that meets all nonsense, one after the other; it is to be current again after each."""
+    log = Log()
+    log.add(members(member("s-0", "127.0.0.1:1", "std"), reset=True))
+    one = Relay(tmp_path_factory.mktemp("tried"), [log.address], "tried", {"gather_ms": 0}).start()
+    yield log, one
+    if one.program.process.poll() is None:
+        one.program.process.kill()
+    one.program.wait()
+    log.close()
+
+
+@pytest.mark.parametrize("kind", NONSENSE)
+def test_nothing_of_nonsense_is_applied_and_all_of_it_comes_after(
+    tried: tuple[Log, Relay], kind: str
+) -> None:
+    """Guard: a page is read whole before any of it is applied; one that can't be read ends its connection.
+
+    The page holds two good events ahead of what is wrong, or one, and one behind it.
+    """
+    log, one = tried
+    held = log.last
+    until(lambda: one.holds(held))
+    before = log.go(NONSENSE[kind])
+    log.add(purge(held + 1), purge(held + 2), purge(held + 3))
+    until(lambda: len(log.asked) > before + 1)  # it has been told, and asks again
+    got = one.ask(held)
+    assert got.status == 503 or got.numbers == []
+    assert all(since == held for since, _ in log.asked[before:] if since)  # a number once held is not lost
+    log.go()
+    until(lambda: one.holds(held + 3))
+    got = one.ask(held)
+    assert got.numbers == [held + 1, held + 2, held + 3] or is_whole(got.events)
+    assert one.peak_mb() < 128
+
+
+@pytest.mark.parametrize("way", [relays.silent, NONSENSE["no-json"], relays.trickle, NONSENSE["status-500"]])
+def test_a_relay_that_is_not_current_says_so_at_once_and_is_again_when_its_upstream_is(
+    relay: Start, log: Log, way: Way
+) -> None:
+    """Guard: the age of the news. Without it followers would stay with a relay that hears nothing."""
+    one = relay(log, current_ms=CURRENT)
+    until(lambda: one.holds(1))
+    held, asking = one.line(), one.line()
+    log.go(way)
+    log.add(purge(2))
+    held.send(1, 5_000)
+    until(lambda: not one.current())
+    began = time.monotonic()
+    got = held.answer()
+    assert got.status == 503 and time.monotonic() - began < 0.5  # also who has asked before
+    for line in (held, asking):
+        got = line.ask(1, 5_000)  # the connection is kept
+        assert got.status == 503 and got.fields["retry-after"] == "1"
+        assert got.fields.get("connection", "").lower() != "close"
+    log.go()
+    until(one.current)
+    until(lambda: one.holds(2))
+    assert asking.ask(1).numbers == [2]
+
+
+def test_followers_of_a_relay_that_is_not_current_lose_nothing_elsewhere(
+    relay: Start, log: Log, follow: Callable[..., list[Follower]]
+) -> None:
+    """Guard: 503 to held polls, too; the other relay goes on from what they hold."""
+    deaf = Log()
+    deaf.add(*(json.loads(line) for line in log.raw))
+    one, two = relay(deaf, current_ms=CURRENT), relay(log, current_ms=CURRENT)
+    until(lambda: one.holds(1) and two.holds(1))
+    followers = follow(4, one.port, two.port)
+    all_hold(followers, 1)
+    deaf.go(relays.silent)
+    last = log.add(*(purge(n) for n in range(2, 50)))
+    all_hold(followers, last)
+    assert all(purged(f) == list(range(2, last + 1)) for f in followers)
+    deaf.close()
+
+
+def test_after_the_log_jumped_back_each_connection_gets_a_whole_page(relay: Start, log: Log) -> None:
+    """Guard: the former life's numbers mean nothing now, though the new ones may reach as high."""
+    log.add(*(purge(n) for n in range(2, 41)))
+    one = relay(log)
+    until(lambda: one.holds(40))
+    waiting, late = one.line(), one.line()
+    assert waiting.ask(40).numbers == []
+    waiting.send(40, 5_000)
+    later = now_ms() + 5
+    log.begin_anew(members(member("s-9", "127.0.0.1:1", "std"), reset=True), purge(2, later), purge(3, later))
+    got = waiting.answer()
+    assert is_whole(got.events) and got.numbers[-1] == 3
+    assert got.events[0]["fleet"]["instances"][0]["instanceId"] == "s-9"
+    assert {e["invalidate"]["time"] for e in got.events[1:]} == {later}
+    # A number that both lives have given out: it may be of the former one.
+    got = late.ask(2)
+    assert is_whole(got.events) and got.numbers[-1] == 3
+    log.add(purge(4, later))
+    until(lambda: waiting.ask(3, 1_000).numbers == [4])
+    assert late.ask(3).numbers == [4]  # its number is of this life by now
+    assert is_whole(one.ask(3).events)
+    log.add(*(purge(n, later) for n in range(5, 42)))
+    until(lambda: late.ask(40, 1_000).numbers == [41])
+    assert one.ask(40).numbers == [41]  # past the former life's last number
+
+
+def test_purges_of_a_former_life_are_not_forgotten(relay: Start, log: Log) -> None:
+    """Guard: the latest purge time goes on over a jump; a follower may lack the former life's last purges."""
+    latest = now_ms()
+    log.add(purge(2, latest - 9_000), purge(3, latest))
+    one = relay(log)
+    until(lambda: one.holds(3))
+    log.begin_anew(members(member("s-9", "127.0.0.1:1", "std"), reset=True))
+    got = until(lambda: (a := one.ask(2, 200)).status == 200 and is_whole(a.events) and a)
+    assert got.events[0]["fleet"]["instances"][0]["instanceId"] == "s-9"
+    assert {e["invalidate"]["time"] for e in got.events[1:]} == {latest}
+
+
+def test_a_gap_is_asked_about_once_more_and_not_told(relay: Start, log: Log) -> None:
+    """Guard: numbers that follow each other. The log leaves one out once, as one of several may."""
+    log.add(*(purge(n) for n in range(2, 11)))
+    one = relay(log)
+    until(lambda: one.holds(10))
+
+    def once(log: Log, seen: Any, made: socket.socket) -> bool:
+        if log.last == 10:
+            made.sendall(response(200, log.page(10)))
+            return True
+        log.go()
+        made.sendall(response(200, json.dumps({"seq": 13, "results": [json.loads(log.raw[12])]}).encode()))
+        return True
+
+    before = log.go(once)
+    log.add(purge(11), purge(12), purge(13))
+    until(lambda: one.holds(13))
+    assert one.ask(10).numbers == [11, 12, 13]
+    assert 0 not in [since for since, _ in log.asked[before:]]
+
+
+def test_a_gap_that_stands_makes_it_begin_anew_with_whole_pages(relay: Start, log: Log) -> None:
+    """Guard: asked from 0 after the second time; no follower is told what comes behind a gap."""
+    log.add(*(purge(n) for n in range(2, 11)))
+    one = relay(log)
+    until(lambda: one.holds(10))
+    waiting = one.line()
+    assert waiting.ask(10).numbers == []
+    with log.more:  # what it had from 11 to 20 is lost, and so is what was before
+        first = members(member("s-0", "127.0.0.1:1", "std"), reset=True)
+        log.before, log.raw = 20, [json.dumps({"seq": 21, **first}).encode()]
+    log.add(purge(22))
+    until(lambda: one.holds(22))
+    got = waiting.ask(10, 2_000)
+    assert is_whole(got.events) and got.numbers[-1] == 22
+
+
+def test_a_gap_of_one_upstream_is_filled_by_the_next(relay: Start, log: Log) -> None:
+    """Guard: the next address is asked for what one lacks."""
+    lacks = Log()
+    lacks.add(*(json.loads(line) for line in log.raw))
+    one = relay(lacks, log, spread_ms=50)
+    until(lambda: one.holds(1))
+    log.add(*(purge(n) for n in range(2, 6)))
+    with lacks.more:
+        lacks.before, lacks.raw = 3, [json.dumps({"seq": 4, **purge(4)}).encode()]
+        lacks.more.notify_all()
+    until(lambda: one.holds(5))
+    got = one.ask(1)
+    assert got.numbers == [2, 3, 4, 5]
+    lacks.close()
+
+
+# 4. An hour's cut ---------------------------------------------------------------------------------------
+
+
+def test_an_hour_s_purges_are_told_as_one_whole_page(
+    relay: Start, log: Log, follow: Callable[..., list[Follower]]
+) -> None:
+    """Guard: the ring's bound, and that the backlog is taken in before followers are told.
+
+    648,000 purges are 180 a second for an hour. The bound is on the relay's own seconds of a core, as the
+    machine may be busy with other things.
+    """
+    one = relay(log, current_ms=CURRENT)
+    until(lambda: one.holds(1))
+    followers = follow(10, one.port, since=1)
+    until(lambda: log.heard(1))
+    log.go(relays.silent)
+    until(lambda: all(f.refused for f in followers))
+    at = now_ms()
+    text = json.dumps({"seq": 0, **purge(7, at)}).encode().split(b"0", 1)
+    with log.more:
+        log.raw += [text[0] + b"%d" % n + text[1] for n in range(2, 648_002)]
+    assert log.last == 648_001
+    before, bytes_before = one.cpu(), [f.bytes for f in followers]
+    log.go()
+    all_hold(followers, log.last)
+    assert one.cpu() - before < SOON
+    for follower, had in zip(followers, bytes_before, strict=True):
+        assert follower.wholes and len(follower.told) <= 3 * (GROUPS + 1) + 20_000
+        assert follower.bytes - had < 64 * 1024
+    assert one.peak_mb() < 256
+
+
+# 5. Ten times the purges --------------------------------------------------------------------------------
+
+
+def test_ten_times_the_purges_are_told_in_bounded_pages_and_memory(
+    relay: Start, log: Log, follow: Callable[..., list[Follower]]
+) -> None:
+    """Guard: `page_events`, and that the rest follows at the next poll."""
+    one = relay(log, gather_ms=400, page_events=300)
+    followers = follow(8, one.port)
+    all_hold(followers, 1)
+    peak = one.peak_mb()
+    stream = Stream(log, 1_800)
+    until(lambda: stream.told(5_400))
+    last = stream.stop()
+    all_hold(followers, last)
+    for follower in followers:
+        assert purged(follower) == list(range(2, last + 1)) and not follower.wholes
+        assert max(follower.sizes) <= 300
+        assert slowest(follower) < SOON * 1000
+    assert one.peak_mb() < peak + 48
+
+
+def test_a_change_of_the_list_does_not_wait_for_what_gathers(relay: Start, log: Log) -> None:
+    """Guard: a change of the list cuts the page at once, and what has gathered goes with it, in its order."""
+    one = relay(log, gather_ms=5_000)
+    until(lambda: one.holds(1))
+    waiting, late = one.line(), one.line()
+    waiting.send(1, 5_000)
+    until(lambda: log.heard(1))
+    began = time.monotonic()
+    log.add(purge(2), purge(3))
+    until(lambda: log.heard(3))
+    log.add(members(member("s-0", "127.0.0.1:1", "std", "Terminating"), generation=2))
+    log.add(purge(5))
+    got = waiting.answer()
+    assert time.monotonic() - began < 1.0
+    assert got.numbers[:3] == [2, 3, 4] and "fleet" in got.events[2]
+    assert late.ask(1, 5_000).numbers[:3] == [2, 3, 4]
+
+
+def test_a_poll_that_does_not_wait_gets_what_has_gathered(relay: Start, log: Log) -> None:
+    """Guard: `timeout=0`; a gateway that starts asks so, and must not begin without what is known."""
+    one = relay(log, gather_ms=5_000)
+    until(lambda: one.holds(1))
+    log.add(purge(2), purge(3))
+    until(lambda: log.heard(3))
+    assert one.ask(1).numbers == [2, 3]
+
+
+def test_a_drain_amid_ten_times_the_purges_comes_at_once(relay: Start, log: Log) -> None:
+    """Guard: as above, under load: no event ahead of the drain is missing, and it does not wait."""
+    one = relay(log, gather_ms=5_000)
+    until(lambda: one.holds(1))
+    waiting = one.line()
+    waiting.send(1, 5_000)
+    stream = Stream(log, 1_800)
+    until(lambda: stream.told(500))
+    drained = log.add(members(member("s-0", "127.0.0.1:1", "std", "Terminating"), generation=2))
+    began = time.monotonic()
+    got = waiting.answer()
+    assert time.monotonic() - began < 1.0
+    assert got.numbers == list(range(2, got.numbers[-1] + 1)) and got.numbers[-1] >= drained
+    assert "fleet" in got.events[drained - 2]
+    stream.stop()
+
+
+# 6. Pages and their order -------------------------------------------------------------------------------
+
+
+def test_two_changes_of_a_member_in_one_page_keep_their_order(relay: Start, log: Log) -> None:
+    """Guard: events are told as they came, and the fold of the list takes the last one."""
+    ready = member("s-0", "127.0.0.1:1", "std")
+    one = relay(log, gather_ms=0)
+    until(lambda: one.holds(1))
+    log.add(members(ready | {"lifecycle": "Terminating"}, generation=2), members(ready, generation=3))
+    until(lambda: one.holds(3))
+    states = [e["fleet"]["instances"][0]["lifecycle"] for e in one.ask(1).events]
+    assert states == ["Terminating", "Ready"]
+    both = [ready | {"lifecycle": "Ready"}, ready | {"lifecycle": "Terminating"}]
+    log.add(members(*both, generation=4))  # twice in one event: the last one counts
+    until(lambda: one.holds(4))
+    assert one.ask(3).events[0]["fleet"]["instances"] == both
+    listed = one.ask(10**6).events[0]["fleet"]["instances"]
+    assert [line["lifecycle"] for line in listed] == ["Terminating"]
+
+
+@pytest.mark.parametrize("page_events", [1, 2, 7])
+def test_pages_cut_in_the_middle_of_anything_lose_nothing(
+    relay: Start, log: Log, page_events: int
+) -> None:
+    """Guard: the next page begins behind the last event told; events of no known kind keep their number."""
+    line = member("s-1", "127.0.0.1:1", "std")
+    kinds: list[relays.Event] = [
+        purge(1), {"invalidate": {"bucket": 9, "time": now_ms()}}, members(line), {"weather": {"rain": True}},
+        {}, members(line, reset=True), members(), {"invalidate": None, "fleet": None},
+    ]  # fmt: skip
+    log.add(*(kinds[n % len(kinds)] for n in range(40)))
+    one = relay(log, page_events=page_events)
+    until(lambda: one.holds(41))
+    held, asker, got = 0, one.line(), []
+    while held < 41:
+        events = asker.ask(held).events
+        assert 0 < len(events) <= page_events
+        got += events
+        held = got[-1]["seq"]
+    assert [e["seq"] for e in got] == list(range(1, 42))
+    assert got == [json.loads(line) for line in log.raw]
+
+
+def test_a_whole_page_is_not_cut(relay: Start, log: Log) -> None:
+    """Guard: a receiver knows a whole page by its form; `page_events` must not take it apart."""
+    log.add(*(purge(n) for n in range(2, 1_001)))
+    one = relay(log, page_events=10, ring_events=RING)
+    until(lambda: one.holds(1_000))
+    got = one.ask(5)
+    assert is_whole(got.events) and got.numbers[-1] == 1_000
+
+
+def test_pages_are_bounded_in_bytes_too(relay: Start, log: Log) -> None:
+    """Guard: a page that a gateway refuses as too long (16 MB) would be asked for again for ever."""
+    lines = [member(f"s-{n}", "127.0.0.1:1", "std") for n in range(2_000)]
+    one = relay(log, gather_ms=0)
+    for generation in range(2, 92):  # whole lists of 260 KB, 23 MB in all
+        log.add(members(*lines, generation=generation, reset=True))
+    until(lambda: one.holds(91))
+    line, held = one.line(), 1
+    while held < 91:
+        got = line.ask(held)
+        assert len(got.body) < 16 * MB
+        assert got.numbers[0] == held + 1 or is_whole(got.events)
+        held = got.numbers[-1]
+    assert one.peak_mb() < 256
+
+
+# 7. All at once -----------------------------------------------------------------------------------------
+
+
+def test_all_followers_at_once_are_answered(relay: Start, log: Log) -> None:
+    """Guard: the listener's backlog, and pages built once for all who ask from the same number."""
+    log.add(*(purge(n) for n in range(2, 301)))
+    one = relay(log, followers=320)
+    until(lambda: one.holds(300))
+    lines = [one.line() for _ in range(300)]
+    for line in lines:
+        line.send(100, 5_000)
+    assert all(line.answer().numbers == list(range(101, 301)) for line in lines)
+    for line in lines:
+        line.send(300, 5_000)
+    log.add(purge(301))
+    assert all(line.answer().numbers == [301] for line in lines)
+    for line in lines:
+        line.close()
+
+
+def test_followers_over_the_bound_are_sent_on(relay: Start, log: Log) -> None:
+    """Guard: `followers`; those who came before are answered all the same; a place left is given again."""
+    one = relay(log, followers=10)
+    until(lambda: one.holds(1))
+    lines: list[Line] = []
+
+    def place() -> bool:
+        """A connection of `current` may still be counted."""
+        line = one.line()
+        if line.ask(1).status != 200:
+            return False
+        lines.append(line)
+        return True
+
+    while len(lines) < 10:
+        until(place)
+    for _ in range(5):
+        line = one.line()
+        line.send(1, 5_000)
+        got = line.answer()
+        assert got.status == 503 and got.fields["connection"].lower() == "close"
+        assert "retry-after" in got.fields
+        assert line.ended()
+    for line in lines:
+        line.send(1, 5_000)
+    log.add(purge(2))
+    assert all(line.answer().numbers == [2] for line in lines)
+    lines.pop().close()
+    until(place)
+
+
+# 8. Hostile followers -----------------------------------------------------------------------------------
+
+
+def a_byte_a_second(port: int, over: threading.Event) -> None:
+    made = socket.create_connection(("127.0.0.1", port))
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1024)
+    made.sendall(b"GET /changes?since=0&timeout=0 HTTP/1.1\r\nHost: r\r\n\r\n")
+    with contextlib.suppress(OSError):
+        while not over.wait(1.0) and made.recv(1):
+            pass
+    made.close()
+
+
+def half_a_head(port: int, over: threading.Event) -> None:
+    made = socket.create_connection(("127.0.0.1", port))
+    made.sendall(b"GET /changes?since=0&timeout=0 HTTP/1.1\r\nHost:")
+    over.wait()
+    made.close()
+
+
+def never_reads(port: int, over: threading.Event) -> None:
+    made = socket.create_connection(("127.0.0.1", port))
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1024)
+    made.settimeout(1)
+    with contextlib.suppress(OSError):
+        while not over.is_set():
+            made.sendall(b"GET /changes?since=0&timeout=0 HTTP/1.1\r\nHost: r\r\n\r\n" * 50)
+    over.wait()
+    made.close()
+
+
+def pipelines(port: int, over: threading.Event) -> None:
+    made = socket.create_connection(("127.0.0.1", port))
+    made.settimeout(0.2)
+    with contextlib.suppress(OSError):
+        made.sendall(b"GET /changes?since=0&timeout=5000 HTTP/1.1\r\nHost: r\r\n\r\n" * 500)
+        while not over.is_set():
+            with contextlib.suppress(TimeoutError):
+                if not made.recv(65_536):
+                    break
+    made.close()
+
+
+def a_large_head(port: int, over: threading.Event) -> None:
+    made = socket.create_connection(("127.0.0.1", port))
+    made.settimeout(1)
+    with contextlib.suppress(OSError):
+        made.sendall(b"GET /changes?since=0&timeout=0 HTTP/1.1\r\n" + b"A: b\r\n" * 175_000)
+    over.wait()
+    made.close()
+
+
+def test_no_hostile_follower_delays_another(
+    relay: Start, log: Log, follow: Callable[..., list[Follower]]
+) -> None:
+    """Guard: bounds on heads, on what is not taken and on one open poll; nobody is waited for."""
+    log.add(*(purge(n) for n in range(2, 2_001)))
+    one = relay(log)
+    until(lambda: one.holds(2_000))
+    good = follow(3, one.port, since=2_000)
+    peak, over = one.peak_mb(), threading.Event()
+    rude = [a_byte_a_second, half_a_head, never_reads, pipelines, a_large_head] * 4
+    threads = [threading.Thread(target=r, args=(one.port, over), daemon=True) for r in rude]
+    for thread in threads:
+        thread.start()
+    stream = Stream(log, 180)
+    until(lambda: stream.told(400))
+    last = stream.stop()
+    all_hold(good, last)
+    assert all(purged(f) == list(range(2_001, last + 1)) and slowest(f) < 1_000 for f in good)
+    assert one.peak_mb() < peak + 48
+    over.set()
+    for thread in threads:
+        thread.join(5)
+
+
+def test_a_head_that_is_not_finished_ends_its_connection(plain: Relay) -> None:
+    """Guard: 5 s for a head, from when its connection was made or its first byte came."""
+    begun = plain.line()
+    assert begun.ask(1).status == 200
+    slow = [begun, plain.line()]
+    began = time.monotonic()
+    for line in slow:
+        line.sock.sendall(b"GET /changes?since=1&time")
+    for line in slow:
+        with contextlib.suppress(ConnectionError):
+            assert line.answer().status in (400, 408)
+        assert line.ended()
+    assert 4 < time.monotonic() - began < 7
+
+
+def test_an_answer_that_is_not_taken_ends_its_connection(relay: Start, log: Log) -> None:
+    """Guard: 2 s for an answer. Without it, one who never reads holds a page and a place for ever."""
+    log.add(*(purge(n) for n in range(2, 4_001)))
+    one = relay(log, followers=2, ring_events=5_000, page_events=5_000)
+    until(lambda: one.holds(4_000))
+    stuck = socket.socket()
+    stuck.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1024)
+    stuck.connect(("127.0.0.1", one.port))
+    ask = b"GET /changes?since=0&timeout=0 HTTP/1.1\r\nHost: r\r\n\r\n"
+    stuck.settimeout(1)
+    with contextlib.suppress(OSError):
+        for _ in range(40):  # more than the kernel holds for it
+            stuck.sendall(ask)
+
+    def rid_of_it() -> bool:
+        lines = [one.line(), one.line()]
+        try:
+            return all(line.ask(4_000).status == 200 for line in lines)
+        finally:
+            for line in lines:
+                line.close()
+
+    assert not rid_of_it()
+    until(rid_of_it)
+    stuck.close()
+
+
+BAD_REQUESTS = {
+    "since-negative": (b"GET /changes?since=-1&timeout=0 HTTP/1.1", 400),
+    "since-word": (b"GET /changes?since=one&timeout=0 HTTP/1.1", 400),
+    "since-empty": (b"GET /changes?since=&timeout=0 HTTP/1.1", 400),
+    "since-digits-of-others": ("GET /changes?since=²&timeout=0 HTTP/1.1".encode(), 400),
+    "since-underscore": (b"GET /changes?since=1_0&timeout=0 HTTP/1.1", 400),
+    "since-endless": (b"GET /changes?since=" + b"9" * 3_000 + b"&timeout=0 HTTP/1.1", 400),
+    "timeout-negative": (b"GET /changes?since=1&timeout=-1 HTTP/1.1", 400),
+    "timeout-word": (b"GET /changes?since=1&timeout=soon HTTP/1.1", 400),
+    "method-post": (b"POST /changes?since=1&timeout=0 HTTP/1.1", 405),
+    "method-delete": (b"DELETE /changes?since=1&timeout=0 HTTP/1.1", 405),
+    "method-none": (b"/changes?since=1&timeout=0", 400),
+    "path": (b"GET /chances HTTP/1.1", 404),
+    "path-none": (b"GET", 400),
+    "version": (b"GET /changes?since=1&timeout=0 HTTP/9.9", 505),
+    "no-http": (b"\x16\x03\x01\x02\x00\x01", 400),
+    "bytes": (bytes(range(128, 256)), 400),
+}
+
+
+@pytest.fixture(scope="module")
+def plain(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Relay]:
+    log = Log()
+    log.add(members(member("s-0", "127.0.0.1:1", "std"), reset=True))
+    one = Relay(tmp_path_factory.mktemp("plain"), [log.address], "plain", {"gather_ms": 0}).start()
+    until(lambda: one.holds(1))
+    yield one
+    one.program.process.kill()
+    one.program.wait()
+    log.close()
+
+
+@pytest.mark.parametrize("kind", BAD_REQUESTS)
+def test_a_bad_request_is_told_plainly(plain: Relay, kind: str) -> None:
+    """Guard: the request's numbers are read strictly. No traceback is looked at where the relay ends."""
+    line = plain.line()
+    head, status = BAD_REQUESTS[kind]
+    line.sock.sendall(head + b"\r\nHost: r\r\nContent-Length: 0\r\n\r\n")
+    got = line.answer()
+    assert got.status == status or (status != 404 and got.status == 400), got
+    line.close()
+    assert plain.holds(1)
+
+
+def test_a_request_with_a_body_does_not_smuggle_another(plain: Relay) -> None:
+    """Guard: a body that nobody reads must not be taken for the next request."""
+    line = plain.line()
+    inner = b"GET /changes?since=0&timeout=0 HTTP/1.1\r\nHost: r\r\n\r\n"
+    head = b"GET /changes?since=1&timeout=0 HTTP/1.1\r\nHost: r\r\nContent-Length: %d\r\n\r\n" % len(inner)
+    line.sock.sendall(head + inner)
+    got = line.answer()
+    assert got.status == 400 or got.numbers == []
+    line.sock.settimeout(0.5)
+    with contextlib.suppress(TimeoutError, ConnectionError):
+        raise AssertionError(f"answered its body: {line.answer()}")
+
+
+def test_no_poll_is_held_over_five_seconds(plain: Relay) -> None:
+    """Guard: the most that a poll may wait; one that asks for more is refused or held so long."""
+    lines = [plain.line() for _ in range(3)]
+    began = time.monotonic()
+    for line, timeout in zip(lines, (5_001, 99_999_999_999, 10**30), strict=True):
+        line.send(1, timeout)
+    for line in lines:
+        got = line.answer()
+        assert got.status in (200, 400) and time.monotonic() - began < 6
+        assert got.status == 400 or got.numbers == []
+        line.close()
+
+
+@pytest.mark.parametrize("query", ["?since=1", "?timeout=0", "", "?", "?since=1&since=0&timeout=0"])
+def test_a_poll_without_its_numbers_is_answered_at_once(plain: Relay, query: str) -> None:
+    """Guard: there is a number for what is missing, or a plain refusal; nobody hangs."""
+    line = plain.line()
+    began = time.monotonic()
+    line.sock.sendall(f"GET /changes{query} HTTP/1.1\r\nHost: r\r\n\r\n".encode())
+    assert line.answer().status in (200, 400) and time.monotonic() - began < 1
+    line.close()
+
+
+# 9. SIGTERM ---------------------------------------------------------------------------------------------
+
+
+def test_sigterm_answers_all_who_wait_and_sends_them_on(relay: Start, log: Log) -> None:
+    """Guard: held polls are answered at once with what there is, each with `Connection: close`."""
+    one = relay(log, gather_ms=5_000)
+    until(lambda: one.holds(1))
+    lines = [one.line() for _ in range(50)]
+    resting = one.line()
+    assert resting.ask(1).status == 200
+    for line in lines:
+        line.send(1, 5_000)
+    until(lambda: log.heard(1))
+    log.add(purge(2))  # gathers
+    until(lambda: log.heard(2))
+    began = time.monotonic()
+    one.program.process.send_signal(signal.SIGTERM)
+    for line in lines:
+        got = line.answer()
+        assert got.status == 200 and got.fields["connection"].lower() == "close"
+        assert got.numbers == [2]
+        assert line.ended()
+    assert time.monotonic() - began < 2
+    assert resting.ended()
+    for line in lines:
+        line.close()
+    assert one.program.wait() == 0 and time.monotonic() - began < 3.5
+
+
+def test_sigterm_does_not_wait_for_who_never_reads(relay: Start, log: Log) -> None:
+    """Guard: 3 s at most for the end."""
+    log.add(*(purge(n) for n in range(2, 4_001)))
+    one = relay(log, ring_events=5_000, page_events=5_000)
+    until(lambda: one.holds(4_000))
+    over = threading.Event()
+    threads = [threading.Thread(target=never_reads, args=(one.port, over), daemon=True) for _ in range(5)]
+    for thread in threads:
+        thread.start()
+    began = time.monotonic()
+    one.program.process.send_signal(signal.SIGTERM)
+    assert one.program.wait() == 0 and time.monotonic() - began < 3.7
+    over.set()
+
+
+def test_followers_lose_nothing_when_a_relay_is_told_to_end(
+    relay: Start, log: Log, follow: Callable[..., list[Follower]]
+) -> None:
+    """Guard: as above; followers are sent on in order and take the other one."""
+    one, two = relay(log), relay(log)
+    followers = follow(10, one.port, two.port)
+    stream = Stream(log, 180)
+    until(lambda: stream.told(100))
+    assert one.program.stop() == 0
+    held = log.last
+    until(lambda: log.last >= held + 100)
+    last = stream.stop()
+    all_hold(followers, last)
+    assert all(purged(f) == list(range(2, last + 1)) and not f.wholes for f in followers)
+
+
+# 10. Loops ----------------------------------------------------------------------------------------------
+
+
+def test_two_relays_that_follow_each_other_are_not_current(relay: Start) -> None:
+    """Guard: `Via`. Without it each would take the other's silence for a log with nothing new."""
+    ports = free_port(), free_port()
+    one = relay(f"127.0.0.1:{ports[1]}", port=ports[0], current_ms=CURRENT)
+    two = relay(f"127.0.0.1:{ports[0]}", port=ports[1], current_ms=CURRENT)
+    end = time.monotonic() + 2.5
+    while time.monotonic() < end:
+        assert one.ask(0).status == 503 and two.ask(0).status == 503
+
+
+def test_two_relays_in_a_loop_hear_the_log_again_when_it_is_there(relay: Start, log: Log) -> None:
+    """Guard: as above; each goes to its next address, and neither keeps the other alive without the log."""
+    ports = free_port(), free_port()
+    one = relay(f"127.0.0.1:{ports[1]}", log, port=ports[0], current_ms=CURRENT, spread_ms=50)
+    two = relay(f"127.0.0.1:{ports[0]}", log, port=ports[1], current_ms=CURRENT, spread_ms=50)
+    until(lambda: one.holds(1) and two.holds(1))
+    log.go(relays.silent)
+    until(lambda: not one.current() and not two.current())
+    end = time.monotonic() + 1.0
+    while time.monotonic() < end:
+        assert not one.current() and not two.current()
+    log.go()
+    log.add(purge(2))
+    until(lambda: one.holds(2) and two.holds(2))
+
+
+def test_a_relay_that_follows_itself_by_another_name_is_not_current(relay: Start) -> None:
+    """Guard: `Via` again; that the address differs from its own tells nothing."""
+    port = free_port()
+    tunnel = Tunnel(port)
+    one = relay(tunnel.address, port=port, current_ms=CURRENT)
+    end = time.monotonic() + 2.0
+    while time.monotonic() < end:
+        assert one.ask(0).status == 503
+    tunnel.close()
+
+
+def test_a_relay_in_a_loop_with_itself_takes_the_log_by_its_other_address(relay: Start, log: Log) -> None:
+    """Guard: as above, once it holds events: its own answer must not count as having asked the log."""
+    port = free_port()
+    tunnel = Tunnel(port)
+    one = relay(tunnel.address, log, port=port, current_ms=CURRENT, spread_ms=50)
+    until(lambda: one.holds(1))
+    log.add(purge(2))
+    until(lambda: one.holds(2))
+    log.go(relays.silent)
+    until(lambda: not one.current())
+    end = time.monotonic() + 1.0
+    while time.monotonic() < end:
+        assert not one.current()
+    tunnel.close()
+
+
+# 11. Two tiers ------------------------------------------------------------------------------------------
+
+
+def aged(answer: Answer) -> int:
+    return int(answer.fields["age"])
+
+
+def test_ages_sum_up_over_two_tiers(relay: Start, log: Log) -> None:
+    """Guard: the upper relay's own `Age` is counted in; the lower one would call itself current else."""
+    upper = relay(log, current_ms=30_000)
+    lower = relay(upper.address, current_ms=30_000, gather_ms=0)
+    until(lambda: lower.holds(1))
+    assert "r1" in lower.ask(1).fields["via"]
+    log.go(relays.silent)
+    began = time.monotonic()
+    until(lambda: aged(upper.ask(1)) >= 3)
+    assert aged(lower.ask(1)) >= 3
+    assert time.monotonic() - began > 0.9  # not from the beginning
+    log.go()
+    until(lambda: aged(lower.ask(1)) <= 2 and aged(upper.ask(1)) <= 2)
+
+
+def test_a_lower_relay_is_not_current_when_the_one_above_is_not(relay: Start, log: Log) -> None:
+    """Guard: a 503 from above is no news; all tiers are current again when the log is."""
+    upper = relay(log, current_ms=CURRENT)
+    lower = relay(upper.address, current_ms=CURRENT, gather_ms=0)
+    until(lambda: lower.holds(1))
+    log.go(relays.silent)
+    until(lambda: not upper.current() and not lower.current())
+    log.go()
+    log.add(purge(2))
+    until(lambda: lower.holds(2))
+    assert lower.ask(1).numbers == [2]
+
+
+# 12. SIGHUP and configuration ---------------------------------------------------------------------------
+
+
+def confirmed(one: Relay) -> int:
+    """The lowest number that its connected followers hold; -1: it has none."""
+    lowest = one.status()["lowest"]
+    return -1 if lowest is None else int(lowest)
+
+
+def said(one: Relay) -> int:
+    return len(one.program.lines)
+
+
+def test_sighup_with_another_upstream_leaves_no_gap(relay: Start, log: Log) -> None:
+    """Guard: the numbers go on over the change; followers' connections stay as they are."""
+    one = relay(log)
+    until(lambda: one.holds(1))
+    waiting = one.line()
+    waiting.send(1, 5_000)
+    new = Log()
+    new.add(*(json.loads(line) for line in log.raw), purge(2))
+    log.go(relays.silent)
+    one.write(upstream=[new.address])
+    one.hang_up()
+    assert waiting.answer().numbers == [2]
+    assert new.asked[0][0] == 1
+    asked = len(log.asked)
+    new.add(purge(3))
+    assert waiting.ask(2, 2_000).numbers == [3]
+    assert len(log.asked) == asked
+    new.close()
+
+
+@pytest.mark.parametrize("text", ["", "upstream = 5\n", "name = \n", 'listen = "127.0.0.1:1"\n', None])
+def test_sighup_with_a_file_that_cannot_be_used_changes_nothing(
+    relay: Start, log: Log, text: str | None
+) -> None:
+    """Guard: the file is read whole before any of it counts."""
+    one = relay(log)
+    until(lambda: one.holds(1))
+    file = one.path / f"{one.name}.toml"
+    if text is None:
+        file.unlink()
+    else:
+        file.write_text(text)
+    before = said(one)
+    one.hang_up()
+    until(lambda: said(one) > before)
+    log.add(purge(2))
+    until(lambda: one.holds(2))
+
+
+GOOD = 'name = "r"\nlisten = "127.0.0.1:0"\nupstream = ["127.0.0.1:1"]\n'
+NUMBERS = {
+    "gather_ms", "spread_ms", "page_events", "ring_events", "followers", "members", "current_ms", "wait_ms",
+}  # fmt: skip
+WORDS = {"negative": "-1", "word": '"5"', "huge": "1000000000000", "true": "true", "part": "1.5"}
+BAD_FILES: dict[str, str | bytes] = {
+    "empty": "",
+    "no-toml": "{",
+    "not-utf8": b"name = '\xff'",
+    "no-name": GOOD.replace("name", "game"),
+    "name-number": GOOD.replace('"r"', "5"),
+    "name-empty": GOOD.replace('"r"', '""'),
+    "name-two-lines": GOOD.replace('"r"', '"r\\r\\nSet-Cookie: a"'),
+    "name-spaces": GOOD.replace('"r"', '"r, 1.1 s"'),
+    "no-listen": GOOD.replace("listen", "listens"),
+    "listen-word": GOOD.replace("127.0.0.1:0", "here"),
+    "listen-high": GOOD.replace("127.0.0.1:0", "127.0.0.1:99999"),
+    "upstream-itself": GOOD.replace("127.0.0.1:0", "127.0.0.1:4711").replace(":1\"]", ":4711\"]"),
+    "upstream-port-0": GOOD.replace("127.0.0.1:1", "127.0.0.1:0"),
+    "listen-elsewhere": GOOD.replace("127.0.0.1:0", "192.0.2.1:0"),
+    "no-upstream": GOOD.replace("upstream", "upstreams"),
+    "upstream-none": GOOD.replace('["127.0.0.1:1"]', "[]"),
+    "upstream-text": GOOD.replace('["127.0.0.1:1"]', '"127.0.0.1:1"'),
+    "upstream-number": GOOD.replace('"127.0.0.1:1"', "1"),
+    "upstream-word": GOOD.replace("127.0.0.1:1", "there"),
+    "upstream-twice": GOOD.replace('["127.0.0.1:1"]', '["127.0.0.1:1", "127.0.0.1:1"]'),
+    "unknown-key": GOOD + "gather = 5\n",
+    "unknown-table": GOOD + "[relay]\na = 1\n",
+    **{f"{k}-{word}": GOOD + f"{k} = {value}\n" for k in sorted(NUMBERS) for word, value in WORDS.items()},
+    **{f"{key}-zero": GOOD + f"{key} = 0\n" for key in sorted(NUMBERS - {"gather_ms", "spread_ms"})},
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("kind", ["missing", "directory", *BAD_FILES])
+def test_a_bad_file_is_one_line_and_no_start(tmp_path: Path, kind: str) -> None:
+    """Guard: each word of the file is read strictly."""
+    file = tmp_path / "relay.toml"
+    if kind == "directory":
+        file.mkdir()
+    elif kind != "missing":
+        text = BAD_FILES[kind]
+        file.write_bytes(text if isinstance(text, bytes) else text.encode())
+    ended = run("relay", str(file))
+    assert ended.returncode not in (0, -6, -9, -11) and len(ended.stderr.splitlines()) == 1, ended.stderr
+    assert "Traceback" not in ended.stderr and not ended.stdout
+
+
+def test_a_port_that_is_taken_is_one_line(tmp_path: Path) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        file = tmp_path / "relay.toml"
+        file.write_text(GOOD.replace("127.0.0.1:0", "127.0.0.1:%d" % taken.getsockname()[1]))
+        ended = run("relay", str(file))
+    assert ended.returncode and len(ended.stderr.splitlines()) == 1, ended.stderr
+
+
+# The gateway behind a relay -----------------------------------------------------------------------------
+
+
+class Gateways:
+    """Gateways with two stores by hand; they follow relays of one log, whose first event is their list."""
+
+    def __init__(self, path: Path, log: Log) -> None:
+        self.path, self.log = path, log
+        self.caches = [Http(ok()), Http(ok())]
+        lines = [member(f"s-{n}", c.address, "std") for n, c in enumerate(self.caches)]
+        lines += [member("p-0", "127.0.0.1:1", "parent"), member("o-0", "127.0.0.1:1", "origin")]
+        self.list = members(*lines, reset=True)
+        log.begin_anew(self.list)
+        self.begun: list[Platform] = []
+
+    def start(self, *behind: Relay, known: int = 1) -> Platform:
+        """One that follows these relays; its file knows the list, and says that it is as of that number."""
+        path = self.path / f"gateway-{len(self.begun)}"
+        path.mkdir()
+        file = path / "logs.toml"
+        file.write_text(f"addresses = {relays.toml([r.address for r in behind])}\nspread_ms = 50\n")
+        made = Platform(path, caches=self.caches, words=("--change-logs", str(file)))
+        self.begun.append(made)
+        results = [{"seq": 1, **self.list}]
+        return made.start(known={"seq": known, "results": results}, changelog=self.log.address)
+
+    def drained(self, number: int) -> relays.Event:
+        line = member(f"s-{number}", self.caches[number].address, "std", "Terminating")
+        return members(line, generation=2)
+
+
+@pytest.fixture
+def gateways(tmp_path: Path, log: Log) -> Iterator[Gateways]:
+    made = Gateways(tmp_path, log)
+    yield made
+    for one in made.begun:
+        if one.program.process.poll() is None:
+            one.program.process.kill()
+        one.program.wait()
+
+
+def keep(platform: Platform, row: int, body: bytes) -> None:
+    """Have the object asked for until the gateway answers it from a copy of its own."""
+    client = platform.client()
+    platform.all_reply(ok(body))
+
+    def own() -> bool:
+        before = len(platform.seen)
+        client.ask(row=row)
+        assert client.answer()[2] == body
+        return len(platform.seen) == before
+
+    until(own)
+
+
+def served_anew(platform: Platform, row: int, purged: int) -> None:
+    """The store is asked, for nothing from before that time (Unix ms), and its answer is served."""
+    platform.all_reply(ok(b"new"))
+    client = platform.client()
+    client.ask(row=row)
+    assert client.answer()[2] == b"new"
+    last = platform.seen[-1]
+    assert f"{row:016x}" in last.path
+    assert last.at_ms - int(last.fields["x-max-age-ms"]) >= purged
+
+
+def test_a_gateway_that_slept_through_the_ring_serves_nothing_from_before_a_purge(
+    relay: Start, log: Log, gateways: Gateways
+) -> None:
+    """Guard: the whole page. Its kept copy and the store's are from before a purge that the ring has lost."""
+    one = relay(log, ring_events=RING)
+    until(lambda: one.holds(1))
+    platform = gateways.start(one)
+    keep(platform, 7, b"old")
+    with stopped(platform.program):
+        purged = now_ms()
+        log.add(purge(7), *(purge(n, purged) for n in range(10_000, 10_800)), gateways.drained(0))
+        until(lambda: one.holds(log.last))
+    until(lambda: confirmed(one) == log.last)
+    served_anew(platform, 7, purged)
+    assert all(s.at_ms < purged for s in platform.caches[0].seen)  # the folded list has the drain
+
+
+def test_a_gateway_killed_and_started_again_hears_of_a_purge_before_it_serves(
+    relay: Start, log: Log, gateways: Gateways
+) -> None:
+    """Guard: as above, and the port that opens behind the first answer: `known` is older than the purge."""
+    one = relay(log, ring_events=RING, gather_ms=1_000)
+    until(lambda: one.holds(1))
+    platform = gateways.start(one)
+    keep(platform, 7, b"old")
+    platform.program.process.kill()
+    platform.program.wait()
+    purged = now_ms()
+    log.add(purge(7), *(purge(n, purged) for n in range(10_000, 10_800)), gateways.drained(0))
+    until(lambda: one.holds(log.last))
+    again = gateways.start(one)
+    served_anew(again, 7, purged)
+    assert all(s.at_ms < purged for s in again.caches[0].seen)
+
+
+@pytest.mark.parametrize("known", [302, 10**6])
+def test_a_gateway_that_holds_a_number_never_given_out_hears_all_the_same(
+    relay: Start, log: Log, gateways: Gateways, known: int
+) -> None:
+    """Guard: a whole page is taken whatever number was held; else it would skip all news up to there."""
+    log.add(*(purge(n) for n in range(2, 301)))
+    one = relay(log)
+    until(lambda: one.holds(300))
+    platform = gateways.start(one, known=known)
+    until(lambda: confirmed(one) == 300)
+    keep(platform, 7, b"old")
+    purged = now_ms()
+    log.add(purge(7, purged), gateways.drained(0))
+    until(lambda: confirmed(one) == 302)
+    served_anew(platform, 7, purged)
+    asked = len(platform.caches[0].seen)
+    client = platform.client()
+    for row in range(100, 110):
+        client.ask(row=row)
+        client.answer()
+    assert len(platform.caches[0].seen) == asked
+
+
+def test_a_relay_that_lost_its_ring_tells_its_gateways_all_the_same(
+    relay: Start, log: Log, gateways: Gateways
+) -> None:
+    """Guard: as above. The relay is killed and comes back behind a purge, holding the last events alone."""
+    log.add(*(purge(n) for n in range(2, 101)))
+    one = relay(log, ring_events=RING)
+    until(lambda: one.holds(100))
+    platform = gateways.start(one)
+    until(lambda: confirmed(one) == 100)
+    keep(platform, 7, b"old")
+    one.kill()
+    purged = now_ms()
+    log.add(purge(7), *(purge(n, purged) for n in range(10_000, 10_800)))
+    again = relay(log, name=one.name, port=one.port, ring_events=RING)
+    until(lambda: again.holds(log.last) and confirmed(again) == log.last)
+    served_anew(platform, 7, purged)
+
+
+def test_a_gateway_whose_relay_s_log_is_silent_rests_its_own_copies(
+    relay: Start, log: Log, gateways: Gateways
+) -> None:
+    """Guard: `Age`. Both relays answer in time all along; what is silent is the log, two tiers above."""
+    upper = relay(log, current_ms=60_000)
+    lower = relay(upper.address, current_ms=60_000, gather_ms=0)
+    until(lambda: lower.holds(1))
+    platform = gateways.start(lower)
+    keep(platform, 7, b"old")
+    log.go(relays.silent)
+    began = time.monotonic()
+    client, before = platform.client(), len(platform.seen)
+
+    def asks_again() -> bool:
+        client.ask(row=7)
+        client.answer()
+        return len(platform.seen) > before
+
+    until(asks_again)
+    assert time.monotonic() - began < 6.5
+    assert upper.ask(1).status == 200 and lower.ask(1).status == 200
+
+
+def test_a_gateway_whose_relay_is_killed_hears_from_the_other(
+    relay: Start, log: Log, gateways: Gateways
+) -> None:
+    """Guard: several addresses. The change-over is over when a purge told after the kill is held."""
+    pair = [relay(log), relay(log)]
+    until(lambda: all(r.holds(1) for r in pair))
+    platform = gateways.start(*pair)
+    followed = until(lambda: next((r for r in pair if confirmed(r) == 1), None))
+    other = next(r for r in pair if r is not followed)
+    keep(platform, 7, b"old")
+    followed.kill()
+    purged = now_ms()
+    log.add(purge(7, purged))
+    until(lambda: confirmed(other) == 2)
+    assert now_ms() - purged < SOON * 1000
+    served_anew(platform, 7, purged)
