--- a/tests/relays.py
+++ b/tests/relays.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import gzip
 import json
@@ -15,9 +16,18 @@
 import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
+from random import Random
 from typing import Any
 
+from hallproxy import Router
+from hallproxy.feed.choice import Choice
+from hallproxy.run.changelog import Poller
+from hallproxy.run.loop import Loop
+from hallproxy.state.events import MembersTold, PurgeTold
+from hallproxy.state.model import State
+from hallproxy.wire.bench import settings_from_json
 from tests.gateway import (
     DEADLINE,
     ROOT,
@@ -25,6 +35,7 @@
     Program,
     Seen,
     now_ms,
+    platform_settings,
     polled,
     read_request,
     response,
@@ -342,6 +353,64 @@
         self.since = numbers[-1]
 
 
+class Gatewayed:
+    """Followers as a gateway has them (its poller), in one thread; what each is told is noted with its time.
+
+    Each follows relays in an order of its own, as ``--change-logs`` has it.
+    """
+
+    def __init__(self, count: int, ports: Sequence[int], since: int = 0, spread: float = 0.3) -> None:
+        settings = settings_from_json(json.dumps(platform_settings()).encode())
+        addresses = tuple(("127.0.0.1", port) for port in ports)
+        self.told: list[list[tuple[Any, int]]] = [[] for _ in range(count)]  # event, when (Unix ms)
+        self.pollers: list[Poller] = []
+        for n in range(count):
+            loop = Loop(State(settings, Router(settings, 1)))
+            loop.bring = partial(self._note, n)  # type: ignore[method-assign]
+            choice = Choice(f"g{n}", addresses, spread, Random(n))
+            self.pollers.append(Poller(loop, choice, since, others=len(addresses) > 1))
+        self._ready = threading.Event()
+        self._thread = threading.Thread(target=lambda: asyncio.run(self._run()), daemon=True)
+        self._thread.start()
+        self._ready.wait()
+
+    def holds(self, seq: int) -> bool:
+        return all(p.since == seq for p in self.pollers)
+
+    def objects(self, n: int) -> list[int]:
+        """What that one was told to be purged, in its order."""
+        return [e.object for e, _ in self.told[n] if isinstance(e, PurgeTold) and e.object]
+
+    def wholes(self, n: int) -> int:
+        """How many whole pages it has taken."""
+        lists = [e for e, _ in self.told[n] if isinstance(e, MembersTold)]
+        groups = sum(isinstance(e, PurgeTold) and not e.object for e, _ in self.told[n])
+        assert lists or not groups
+        return groups // GROUPS
+
+    def slowest(self) -> int:
+        """The longest time (ms) from an object's purge to its being held by one of them."""
+        told = [(e, at) for one in self.told for e, at in one]
+        return max(at - e.purged // 1_000_000 for e, at in told if isinstance(e, PurgeTold) and e.object)
+
+    def stop(self) -> None:
+        self._loop.call_soon_threadsafe(self._over.set)
+        self._thread.join(DEADLINE)
+
+    def _note(self, n: int, event: Any) -> None:
+        if isinstance(event, PurgeTold | MembersTold):
+            self.told[n].append((event, now_ms()))
+
+    async def _run(self) -> None:
+        self._loop, self._over = asyncio.get_running_loop(), asyncio.Event()
+        tasks = [asyncio.ensure_future(p.run()) for p in self.pollers]
+        self._ready.set()
+        await self._over.wait()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
 # The program --------------------------------------------------------------------------------------------
 
 
--- a/tests/test_relay_failures.py
+++ b/tests/test_relay_failures.py
@@ -24,6 +24,7 @@
     GROUPS,
     Answer,
     Follower,
+    Gatewayed,
     Line,
     Log,
     Relay,
@@ -94,6 +95,19 @@
         one.stop()
 
 
+@pytest.fixture
+def gatewayed() -> Iterator[Callable[..., Gatewayed]]:
+    begun: list[Gatewayed] = []
+
+    def make(count: int, *ports: int, **more: Any) -> Gatewayed:
+        begun.append(Gatewayed(count, ports, **more))
+        return begun[-1]
+
+    yield make
+    for one in begun:
+        one.stop()
+
+
 def free_port() -> int:
     with socket.create_server(("127.0.0.1", 0)) as sock:
         port: int = sock.getsockname()[1]
@@ -135,6 +149,51 @@
         assert slowest(follower) < SOON * 1000
 
 
+def test_gateways_whose_relay_is_killed_lose_and_double_nothing(
+    relay: Start, log: Log, gatewayed: Callable[..., Gatewayed]
+) -> None:
+    """Guard: as above; a follower that fails over asks from what it holds, and drops half an answer."""
+    pair = [relay(log) for _ in range(3)]
+    many = gatewayed(40, *(r.port for r in pair))
+    stream = Stream(log, 180)
+    until(lambda: stream.told(180) and all(len(t) > 100 for t in many.told))
+    pair[0].kill()
+    held = log.last
+    until(lambda: log.last >= held + 360)
+    last = stream.stop()
+    until(lambda: many.holds(last))
+    assert [many.objects(n) for n in range(40)] == [list(range(2, last + 1))] * 40
+    assert many.slowest() < SOON * 1000
+
+
+def test_a_change_over_in_a_lower_tier_costs_no_whole_page(
+    relay: Start, log: Log, gatewayed: Callable[..., Gatewayed]
+) -> None:
+    """Guard: a number a little above the last one is waited for.
+
+    Relays of a tier differ by up to what the one above gathers; a whole page would take all copies from the
+    gateways that come from the one which is ahead.
+    """
+    upper = [relay(log, gather_ms=gather) for gather in (20, 350)]  # the first is ahead nearly always
+    ahead, behind = lower = (relay(u.address, gather_ms=0) for u in upper)
+    until(lambda: all(r.holds(1) for r in lower))
+    many = gatewayed(40, ahead.port, behind.port, spread=0.02)
+    stream = Stream(log, 180)
+    until(lambda: all(len(t) > 100 for t in many.told))
+    cut = behind.status()["last"]
+    until(lambda: behind.status()["last"] > cut)
+    cut = behind.status()["last"]
+    until(lambda: ahead.status()["last"] > cut + 10)
+    ahead.kill()
+    held = log.last
+    until(lambda: log.last >= held + 360)
+    last = stream.stop()
+    until(lambda: many.holds(last))
+    assert [many.wholes(n) for n in range(40)] == [0] * 40
+    assert [many.objects(n) for n in range(40)] == [list(range(2, last + 1))] * 40
+    assert many.slowest() < SOON * 1000
+
+
 # 2. It comes back from nothing --------------------------------------------------------------------------
 
 
@@ -1115,6 +1174,82 @@
     assert ended.returncode and len(ended.stderr.splitlines()) == 1, ended.stderr
 
 
+# 13. What is said of the tree ---------------------------------------------------------------------------
+
+
+def shown(*of: Relay) -> str:
+    ended = run("relay-status", *(r.address for r in of))
+    assert "Traceback" not in ended.stderr
+    return ended.stdout
+
+
+def test_the_lowest_confirmed_number_and_the_slowest_follower_are_named(relay: Start, log: Log) -> None:
+    """Guard: who asks from a number holds it; an answer that was sent confirms nothing."""
+    one = relay(log, gather_ms=0)
+    until(lambda: one.holds(1))
+    fast, slow = one.line(), one.line()
+    assert slow.ask(1).numbers == fast.ask(1).numbers == []
+    log.add(purge(2), purge(3))
+    until(lambda: one.status()["last"] == 3)
+    assert slow.ask(1).numbers == fast.ask(1).numbers == [2, 3]
+    assert fast.ask(3).numbers == []
+    said = one.status()
+    peer = "127.0.0.1:%d" % slow.sock.getsockname()[1]
+    assert said["lowest"] == 1 and said["slowest"]["peer"] == peer and said["slowest"]["number"] == 1
+    line = next(x for x in shown(one).splitlines() if one.address in x)
+    assert "lowest 1 " in line and peer in line
+    assert slow.ask(3).numbers == []
+    assert confirmed(one) == 3
+    slow.close()
+    log.add(purge(4))
+    until(lambda: fast.ask(3, 1_000).numbers == [4] and fast.ask(4).numbers == [])
+    assert confirmed(one) == 4  # who has left holds nobody back
+    assert one.status()["confirmed_ms"]["count"] >= 3
+
+
+def test_a_tree_of_two_tiers_is_shown_and_one_that_is_down_or_behind_is_named(
+    relay: Start, log: Log
+) -> None:
+    """Guard: whom each follows; one that can't be reached must not hide the others."""
+    upper = relay(log, current_ms=CURRENT, name="upper")
+    low = [relay(upper.address, gather_ms=0, current_ms=CURRENT, name=f"low{n}") for n in range(2)]
+    until(lambda: all(r.holds(1) for r in low))
+    lines = shown(upper, *low).splitlines()
+    assert [next(n for n, x in enumerate(lines) if r.address in x) for r in (upper, *low)][0] == 1
+    depth = {r.name: next(len(x) - len(x.lstrip()) for x in lines if r.address in x) for r in (upper, *low)}
+    assert lines[0].strip().startswith(log.address)
+    assert 0 < depth["upper"] < depth["low0"] == depth["low1"]
+    low[0].kill()
+    log.go(relays.silent)
+    until(lambda: not low[1].current())
+    ended = run("relay-status", *(r.address for r in (upper, *low)))
+    assert ended.returncode == 1
+    lines = ended.stdout.splitlines()
+    assert "not reached" in next(x for x in lines if low[0].address in x)
+    assert "BEHIND" in next(x for x in lines if low[1].address in x)
+
+
+def test_the_tree_of_a_loop_is_shown_once(relay: Start) -> None:
+    """Guard: each relay is shown once; a loop must not be followed for ever."""
+    ports = free_port(), free_port()
+    one = relay(f"127.0.0.1:{ports[1]}", port=ports[0])
+    two = relay(f"127.0.0.1:{ports[0]}", port=ports[1])
+    text = shown(one, two)
+    assert all(sum(x.strip().startswith(r.address) for x in text.splitlines()) == 1 for r in (one, two))
+
+
+def test_a_server_that_is_no_relay_is_told_plainly() -> None:
+    """Guard: what answers is not trusted."""
+    texts = (b"[]", b"{}", b"\xff", b'{"follows": [1], "slowest": 5, "confirmed_ms": {"count": 1}}')
+    odd = [Http(lambda _, text=text: response(200, text)) for text in texts]  # type: ignore[misc]
+    odd += [Http(lambda _: b"garbage\r\n\r\n"), Http(lambda _: response(500, b"no"))]
+    ended = run("relay-status", *(o.address for o in odd))
+    assert "Traceback" not in ended.stderr and ended.returncode == 1
+    assert all(o.address in ended.stdout for o in odd)
+    for one in odd:
+        one.listener.close()
+
+
 # The gateway behind a relay -----------------------------------------------------------------------------
 
 
