--- a/hallproxy/wire/changelog.py
+++ b/hallproxy/wire/changelog.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import zlib
 from collections.abc import Iterator
 from typing import Any
 
@@ -11,15 +12,48 @@
 from hallproxy.wire.bench import member_from_json
 
 MS = 1_000_000
+SECOND = 1_000_000_000
 WAIT_MOST = 5_000  # ms
+GROUPS = 256  # of objects, that are purged as one
 
 
 class ChangeError(ValueError):
-    """News that can't be read; the text says what."""
+    """News that can't be read; the text says what. ``gap``: it can, but numbers are missing in it."""
 
+    gap = False
 
-def poll_head(since: int, wait_ms: int, host: str) -> bytes:
-    return f"GET /changes?since={since}&timeout={wait_ms} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode()
+
+def poll_head(since: int, wait_ms: int, host: str, coded: bool = False) -> bytes:
+    """``coded``: the answer may come compressed."""
+    accepts = "Accept-Encoding: gzip\r\n" if coded else ""
+    return f"GET /changes?since={since}&timeout={wait_ms} HTTP/1.1\r\nHost: {host}\r\n{accepts}\r\n".encode()
+
+
+def unpack(body: bytes, coding: str, most: int) -> bytes:
+    """The body without its coding (Content-Encoding; gzip or none), ``most`` bytes at most."""
+    match coding.strip().lower():
+        case "" | "identity":
+            return body
+        case "gzip" | "x-gzip":
+            unpacking = zlib.decompressobj(wbits=31)
+            try:
+                plain = unpacking.decompress(body, most + 1)
+            except zlib.error as error:
+                raise ChangeError(f"news that can't be unpacked: {error}") from None
+            # Guards the memory against a small body that stands for a huge one.
+            if len(plain) > most:
+                raise ChangeError(f"news of over {most} bytes")
+            if not unpacking.eof or unpacking.unused_data:
+                raise ChangeError("news that can't be unpacked: it does not end with its coding")
+            return plain
+    raise ChangeError(f"news in a coding that nobody asked for: {coding[:40]!r}")
+
+
+def age(text: str) -> int:
+    """How old (ns) an answer's news is, by its ``Age`` (RFC 9111, 5.1: whole seconds)."""
+    if not (text.isascii() and text.isdigit() and len(text) <= 10):
+        raise ChangeError(f"an age that is no number: {text[:40]!r}")
+    return int(text) * SECOND
 
 
 def read_page(raw: bytes | str) -> dict[str, Any]:
@@ -32,6 +66,37 @@
     return page
 
 
+def _numbered(page: dict[str, Any]) -> list[tuple[int, dict[str, Any]]]:
+    """The page's entries by their numbers."""
+    return sorted(((int(entry["seq"]), entry) for entry in page["results"]), key=lambda one: one[0])
+
+
+def whole_from(page: dict[str, Any]) -> int | None:
+    """The number that a *whole page* begins behind; None for any other page.
+
+    It replaces all that was told before: its first event is a whole list (``reset``), the next ones purge
+    each of the groups, and its numbers leave no gap. So its reader goes on from it whatever number he held.
+    """
+    try:
+        if len(page["results"]) <= GROUPS:  # nearly all pages: not worth a second look
+            return None
+        results = _numbered(page)
+        if not results[0][1]["fleet"]["reset"]:
+            return None
+        first = results[0][0]
+        if any(seq != first + place for place, (seq, _) in enumerate(results)):
+            return None
+        purged = set()
+        for _, entry in results[1 : GROUPS + 1]:
+            gone = entry["invalidate"]
+            if entry.get("fleet") is not None or (gone.get("object") and int(gone["object"], 16)):
+                return None
+            purged.add(int(gone["bucket"]))
+        return first - 1 if purged == set(range(GROUPS)) else None
+    except (KeyError, TypeError, ValueError, AttributeError):
+        return None
+
+
 def read_events(
     page: dict[str, Any],
     since: int,
@@ -47,19 +112,19 @@
     old.
     """
     try:
-        results = sorted(page["results"], key=lambda entry: int(entry["seq"]))
-        for entry in results:
-            seq = int(entry["seq"])
+        for seq, entry in _numbered(page):
             if seq <= since:
                 continue
             if seq != since + 1 and not gaps:
-                raise ChangeError(f"the change log leaves a gap between {since} and {seq}")
+                error = ChangeError(f"the change log leaves a gap between {since} and {seq}")
+                error.gap = True
+                raise error
             since = seq
             yield seq, _event(entry, settings, now, live)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        if isinstance(error, ChangeError):
+    except (KeyError, TypeError, ValueError, AttributeError) as failed:
+        if isinstance(failed, ChangeError):
             raise
-        raise ChangeError(f"news that can't be read: {type(error).__name__} {error}") from None
+        raise ChangeError(f"news that can't be read: {type(failed).__name__} {failed}") from None
 
 
 def _event(
