Failure tests of the relay: their threads end with them, loops in the tree, pages built once

Need: a run of a few tests left processes behind that a thread of the tests had started. Mutants that lived: pages built for each asker, a loop in relay-status that the stand-in's answer did not reach.

--- a/tests/test_relay_failures.py
+++ b/tests/test_relay_failures.py
@@ -524,7 +524,7 @@
 def test_an_hour_s_purges_are_told_as_one_whole_page(
     relay: Start, log: Log, follow: Callable[..., list[Follower]]
 ) -> None:
-    """Guard: the ring's bound, and that the backlog is taken in before followers are told.
+    """Guard: the ring's bound, and that a relay is not current until it has all of the backlog.
 
     648,000 purges are 180 a second for an hour. The bound is on the relay's own seconds of a core, as the
     machine may be busy with other things.
@@ -707,6 +707,7 @@
         line.send(300, 5_000)
     log.add(purge(301))
     assert all(line.answer().numbers == [301] for line in lines)
+    assert one.status()["pages"]["built"] < 10
     for line in lines:
         line.close()
 
@@ -878,13 +879,15 @@
 
 
 @pytest.fixture(scope="module")
-def patience(plain: Relay, tmp_path_factory: pytest.TempPathFactory) -> Sequence[Failing]:
+def patience(plain: Relay, tmp_path_factory: pytest.TempPathFactory) -> Iterator[Sequence[Failing]]:
     """What takes over five seconds, begun here so that others run meanwhile; two tests wait for its end."""
     path = tmp_path_factory.mktemp("silent")
     threads = [Failing(lambda: five_seconds(plain)), Failing(lambda: silent_log(path))]
     for thread in threads:
         thread.start()
-    return threads
+    yield threads
+    for thread in threads:
+        thread.join(DEADLINE)  # it stops the processes that it started
 
 
 class Failing(threading.Thread):
@@ -1052,7 +1055,10 @@
 
 
 def test_two_relays_that_follow_each_other_are_not_current(relay: Start, log: Log) -> None:
-    """Guard: `Via`. Each heard the log before; without it each would be current by the other's word."""
+    """Guard: `Via`: a relay's own name in it, or that it may not grow; either alone is enough here.
+
+    Each heard the log before; without them each would be current by the other's word.
+    """
     pair = one, two = relay(log, **CURRENT), relay(log, **CURRENT)
     until(lambda: one.holds(1) and two.holds(1))
     follows(one, two.address)
@@ -1303,11 +1309,13 @@
     """Guard: those that no root leads to are shown, too, each once; a loop is not gone round for ever."""
     loop = [Http(lambda _: None) for _ in range(3)]
     for place, one in enumerate(loop):
-        text = json.dumps({"name": f"r{place}", "follows": loop[place - 1].address}).encode()
+        said: dict[str, Any] = {"name": f"r{place}", "follows": loop[place - 1].address, "confirmed_ms": {}}
+        text = json.dumps(said).encode()
         one.reply = lambda _, text=text: response(200, text)  # type: ignore[misc]
     ended = run("relay-status", *(one.address for one in loop))
     lines = [line.split()[0] for line in ended.stdout.splitlines()]
     assert sorted(lines) == sorted(one.address for one in loop), ended
+    assert "not reached" not in ended.stdout
     for one in loop:
         one.listener.close()
 
