Purges that are over by the settings are forgotten and raise no floor

Need: the table of purges holds 8,192 objects, 46 s of them at 180 a second. From then on its floor called every copy born over 46 s ago purged, though none from before a purge is left anywhere `purge_done` after it: own copies were not kept, and where `purge_strict` holds every good answer became a miss.

Change: a purge is forgotten `purge_done` + 1 s + two fills of the longest deadline after it was told here, or after its own time if that is later, once all attempts that are out were sent later still; the docstring says why no older copy comes in then. The last way is not reckoned by a deadline but by the attempts that are out, as a process that was stopped reads answers before its timers. Swept two a table and event; what leaves the full table raises the floor only if it is not over, and the floor is forgotten with what raised it. `purge_done` 0: nothing is over. At a reload the stricter of both figures holds until what was told before is over. Groups likewise, and bounded as objects are (they had no bound).

Ruled out: reckoning with the four deadlines that a client may wait at most (wire/frames.py): 87 s of purges don't fit the table.

The measurement purges.held asserted that the 8,193rd purge raises the floor whatever its age. That is not so any more, so it asserts the exact number held and the exact floor at the rate, by the settings' figures reckoned apart from the table, and for a burst, of which none is over, what it asserted before; its test has the former figures with a `purge_done` of a minute, and shows that a table that forgets nothing is an error.

--- a/hallproxy/lab/capacity/control_rows.py
+++ b/hallproxy/lab/capacity/control_rows.py
@@ -208,7 +208,7 @@
     Row(
         "control",
         "state",
-        "age at which an own copy falls under the floor of the full table",
+        "the longest that a purge may take to be over by the settings without a floor under everything",
         Figure(
             "s", told(PURGES_MAX / SIZE.purges, f"{num(PURGES_MAX)} objects ÷ {num(SIZE.purges)} purges/s")
         ),
--- a/hallproxy/lab/capacity/purges.py
+++ b/hallproxy/lab/capacity/purges.py
@@ -19,50 +19,66 @@
 
 @measurement(
     name="purges.held", role="purge", x="objects", sizes=(1_000, 4_000, 8_192, 20_000), tiny=(10, 20, 40, 80),
-    title=f"The table of purges after so many objects were told, {RATE} a second: bounded at {PURGES_MAX:,}, "
-    "over that the oldest becomes a floor under every object; floor_age: how long before the last it is",
+    title=f"The table of purges after so many objects were told, {RATE} a second: those over by the settings "
+    f"are forgotten; bounded at {PURGES_MAX:,}, over that the oldest becomes a floor under every object; "
+    "floor_age: how long before the last it is; memory: told at one time, so that none is over",
     quantities=(Quantity("memory_kb", "KB", fitted=False), Quantity("add_us", "us", fitted=False),
                 Quantity("lookup_us", "us", fitted=False), Quantity("held", "", fitted=False),
                 Quantity("floor_reached", "", fitted=False), Quantity("floor_age_s", "s", fitted=False)),
 )  # fmt: skip
 def held(size: float, run: Run) -> Measured:
     many = int(size)
+    settings = fleet.settings()
     idents = [run.random.getrandbits(63) | 1 for _ in range(many)]
     times = [NOW + n * fleet.SECOND // RATE for n in range(many)]
     adds, lookups = [], []
     for _ in range(1 if run.tiny else ROUNDS):
         purges = Purges()
+        purges.configure(settings, 0)
         began = time.process_time()
         for ident, at in zip(idents, times, strict=True):
-            purges.add(ident, 0, at)
+            purges.forget(at)
+            purges.add(ident, 0, at, at, at)
         adds.append((time.process_time() - began) / many * 1e6)
         began = time.process_time()
         for ident in idents:
             purges.last(ident, 0)
         lookups.append((time.process_time() - began) / many * 1e6)
+    # By the settings, reckoned apart from the table: done everywhere, a second, two fills.
+    kept = settings.purge_done + fleet.SECOND + 2 * max(cls.deadline for cls in settings.classes)
+    not_over = sum(at >= times[-1] - kept for at in times)
+    floor = _check(purges, idents[-not_over:], times[-not_over:])
     gc.collect()
     tracemalloc.start()
-    again = Purges()
+    burst = Purges()
+    burst.configure(settings, 0)
     for ident, at in zip(idents, times, strict=True):
-        again.add(ident, 0, at)
+        burst.forget(NOW)
+        burst.add(ident, 0, at, at, NOW)
     used = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
+    _check(burst, idents, times)
+    return {
+        "memory_kb": used / 1e3,
+        "add_us": statistics.median(adds),
+        "lookup_us": statistics.median(lookups),
+        "held": float(len(purges.objects)),
+        "floor_reached": float(floor > 0),
+        "floor_age_s": (times[-1] - floor) / 1e9 if floor else None,
+    }
+
+
+def _check(purges: Purges, idents: list[int], times: list[int]) -> int:
+    """The floor of a table that must know of these purges, none of which is over, and of no others."""
     never_told = 1 << 64
-    floor, over = purges.floor[0], max(0, many - PURGES_MAX)
+    many, floor, over = len(idents), purges.floor[0], max(0, len(idents) - PURGES_MAX)
     if len(purges.objects) != min(many, PURGES_MAX) or purges.last(never_told, 0) != floor:
         raise MeasurementError(f"{len(purges.objects)} of {many} purges are held, floor {floor}")
     if floor != (times[over - 1] if over else NEVER[0]):
         raise MeasurementError(f"the floor is {floor} after {over} purges that had no room")
     if any(purges.last(ident, 0) < at for ident, at in zip(idents, times, strict=True)):
         raise MeasurementError("a purge that was told is not known any more")
-    return {
-        "memory_kb": used / 1e3,
-        "add_us": statistics.median(adds),
-        "lookup_us": statistics.median(lookups),
-        "held": float(len(purges.objects)),
-        "floor_reached": float(over > 0),
-        "floor_age_s": (times[-1] - floor) / 1e9 if over else None,
-    }
+    return floor
 
 
 def _page(many: int, run: Run, seq: int) -> bytes:
--- a/hallproxy/state/model.py
+++ b/hallproxy/state/model.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -87,7 +87,7 @@
     calls: dict[int, Call] = field(default_factory=dict)
     labels: set[str] = field(default_factory=set)  # of the calls, where they have one
     callers: dict[int, Call] = field(default_factory=dict)  # those owed an answer, by the front's handle
-    attempts: dict[int, Attempt] = field(default_factory=dict)
+    attempts: OrderedDict[int, Attempt] = field(default_factory=OrderedDict)  # in the order they were sent
     links: dict[int, Link] = field(default_factory=dict)
     heard: dict[bytes, int] = field(default_factory=dict)  # when a store last gave a sign of life
     idle: dict[bytes, list[Link]] = field(default_factory=dict)
@@ -99,6 +99,7 @@
     effects: list[Effect] = field(default_factory=list)
 
     def __post_init__(self) -> None:
+        self.purges.configure(self.settings, self.now)
         self.bound(self.bounds)
 
     def bound(self, bounds: Bounds) -> None:
--- a/hallproxy/state/reducer.py
+++ b/hallproxy/state/reducer.py
@@ -37,6 +37,7 @@
 def reduce(state: State, event: Event) -> list[Effect]:
     """Take one event; say what is to be done about it, in order."""
     state.now = max(state.now, event.at)
+    state.purges.forget(_out_since(state))
     match event:
         case Arrived():
             calls.arrived(state, event)
@@ -107,6 +108,7 @@
 def _reconfigured(state: State, event: Reconfigured) -> None:
     """New figures from here on. What is open keeps what it was opened with."""
     state.settings = event.settings
+    state.purges.configure(event.settings, state.now)
     state.bound(event.bounds)
     state.told.append(i.SettingsChanged(event.settings))
 
@@ -118,9 +120,15 @@
     state.told.append(event.change)
 
 
+def _out_since(state: State) -> int:
+    """When the first was sent of the attempts that are out; now, where none is."""
+    first = next(iter(state.attempts.values()), None)
+    return state.now if first is None else first.sent_at
+
+
 def _purge(state: State, event: PurgeTold) -> None:
     counted = event.counted or event.purged
-    state.purges.add(event.object, event.group, event.purged, counted)
+    state.purges.add(event.object, event.group, event.purged, counted, state.now)
     state.copies.purge(event.object, event.group, event.purged)
     state.absent.purge(event.object, event.group, event.purged)
     if state.files is not None:
--- a/tests/test_capacity_measures.py
+++ b/tests/test_capacity_measures.py
@@ -10,6 +10,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -20,7 +21,7 @@
 from hallproxy.lab.capacity.registry import MeasurementError, Run
 from hallproxy.logic import COUNTS_MAX
 from hallproxy.run.main import RESERVE
-from hallproxy.state.purges import PURGES_MAX
+from hallproxy.state.purges import PURGES_MAX, Purges
 from hallproxy.wire import frames
 from hallproxy.wire.bench import member_from_json
 from hallproxy.wire.changelog import ChangeError
@@ -83,9 +84,23 @@
         decider.one(1)
 
 
+def test_purges_that_are_over_leave_no_floor(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """At the operators' rate: 6 s until one is done, a second, twice the deadline of 10 s."""
+    kept = 27 * purges.RATE + 1
+    for many in (PURGES_MAX, PURGES_MAX + 1, 20_000):
+        got = purges.held(many, tiny(tmp_path))
+        assert (got["held"], got["floor_reached"], got["floor_age_s"]) == (kept, 0.0, None)
+    monkeypatch.setattr(Purges, "forget", lambda *_: None)
+    with pytest.raises(MeasurementError, match="are held"):
+        purges.held(PURGES_MAX, tiny(tmp_path))
+
+
 def test_the_purges_floor_shows_where_the_table_is_full(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
+    """Where a purge is done everywhere after a minute only, the table fills up before any is over."""
+    slow = replace(fleet.settings(), purge_done=60 * fleet.SECOND)
+    monkeypatch.setattr(fleet, "settings", lambda: slow)
     inside = purges.held(PURGES_MAX, tiny(tmp_path))
     assert (inside["held"], inside["floor_reached"], inside["floor_age_s"]) == (PURGES_MAX, 0.0, None)
     over = purges.held(PURGES_MAX + 1, tiny(tmp_path))
