--- a/hallproxy/lab/capacity/control_rows.py
+++ b/hallproxy/lab/capacity/control_rows.py
@@ -178,7 +178,7 @@
     Row(
         "control",
         "processor",
-        "purges, each of which looks through all own copies, were those 4 KB each",
+        "purges, while own copies are held, were those 4 KB each",
         Figure("cores", _own_copies, (Need("purges.copies", "core_percent"),), SIZE.control_core),
         program.COPIES,
     ),
@@ -208,7 +208,7 @@
     Row(
         "control",
         "state",
-        "age at which an own copy falls under the floor of the full table",
+        "the longest that a purge may take to be over by the settings without a floor under everything",
         Figure(
             "s", told(PURGES_MAX / SIZE.purges, f"{num(PURGES_MAX)} objects ÷ {num(SIZE.purges)} purges/s")
         ),
