A full relay still tells its status

Need: with all places taken /status was refused with 503, just when an operator wants to look (found by the failure tests). Eight connections over the bound are read now and get the status alone; a poll on one is turned away, the next connection unasked. The test fails without it.

--- a/hallproxy/relay/front.py
+++ b/hallproxy/relay/front.py
@@ -39,6 +39,7 @@
 TICK = 20 * MS
 LOOK_EVERY = 50  # ticks between looks at connections that rest
 AT_ONCE = 64  # held polls answered before other connections have their turn
+STATUS_PLACES = 8  # connections over the bound that may ask for the status, and for nothing else
 STOP_IDLE = 500 * MS  # after SIGTERM until connections end on which nothing is asked
 
 # The head that followers send, whole and by itself in what was read; any other is parsed in full.
@@ -59,7 +60,7 @@
 
 class Connection:
     __slots__ = ("stream", "fd", "peer", "state", "turn", "buffer", "streamed", "reading", "deaf", "touched",
-                 "number", "life", "since", "at_once", "zipped", "closes", "drained")  # fmt: skip
+                 "number", "life", "since", "at_once", "zipped", "closes", "drained", "spare")  # fmt: skip
 
     def __init__(self, made: Stream, peer: str, now: int) -> None:
         self.stream = made
@@ -77,6 +78,7 @@
         self.since = 0  # the held poll's
         self.at_once = self.zipped = self.closes = False  # the held poll's, too
         self.drained = 0
+        self.spare = False  # over the bound: it gets the status alone
 
 
 class Front:
@@ -115,11 +117,17 @@
         c = Connection(made, f"{peer[0]}:{peer[1]}", self._now())
         self.connections[c] = None
         self._loop.add_reader(c.fd, self._readable, c)
-        if len(self.connections) - len(self._ending) > self.followers:
-            self.counts["turned_away"] += 1
-            return self._say(c, 503, True, b"Retry-After: 1\r\n")
+        over = len(self.connections) - len(self._ending) - self.followers
+        if over > STATUS_PLACES:
+            return self._turn_away(c)
+        # Guards who looks after a relay that is full: just then its status has to be had.
+        c.spare = over > 0
         self._at(c, c.touched + HEAD_IN)
 
+    def _turn_away(self, c: Connection) -> None:
+        self.counts["turned_away"] += 1
+        self._say(c, 503, True, b"Retry-After: 1\r\n")
+
     def free_descriptor(self) -> bool:
         """Close a connection that ends anyway."""
         for c in self._ending:
@@ -336,6 +344,8 @@
     # Answering
 
     def _poll(self, c: Connection, since: int, wait: int, zipped: bool, closes: bool) -> None:
+        if c.spare:
+            return self._turn_away(c)
         now = c.touched = self._now()
         log = self.log
         self.counts["polls"] += 1
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -18,6 +18,7 @@
 
 from hallproxy.feed import GROUPS
 from hallproxy.feed.told import is_whole
+from hallproxy.relay.front import STATUS_PLACES
 from tests.gateway import DEADLINE, ROOT, ChangeLog, Program, member, now_ms, until
 
 Answer = tuple[int, dict[str, str], Any]
@@ -384,6 +385,27 @@
     until(lambda: relay.changes(0)[0] == 200)
 
 
+def test_a_full_relay_tells_its_status_and_nothing_else(log: ChangeLog, start: Start) -> None:
+    """Guard: the few places over the bound. They are no places for followers, and bounded themselves."""
+    relay = start(followers=2).at(1)
+    polls: list[Poll] = []
+    while len(polls) < 2:
+        poll = relay.poll()  # the connection that asked for the status may still be counted
+        if poll.ask("/changes?since=0&timeout=0")[0] == 200:
+            polls.append(poll)
+    assert relay.status()["followers"] == 2
+    late = relay.poll()
+    assert late.ask("/status")[0] == 200
+    status, fields, _ = late.ask("/changes?since=0&timeout=0")
+    assert status == 503 and fields["connection"] == "close" and fields["retry-after"] == "1"
+    silent = [socket.create_connection(("127.0.0.1", relay.port)) for _ in range(STATUS_PLACES + 1)]
+    silent[-1].settimeout(DEADLINE)
+    assert silent[-1].recv(12) == b"HTTP/1.1 503"  # unasked: there is no place over the bound either
+    for sock in silent:
+        sock.close()
+    until(lambda: relay.status()["answers"]["turned_away"] >= 2)
+
+
 @pytest.mark.parametrize(
     "request_bytes",
     [
