Request counts: ageing keeps the objects of open requests

Effect: a queued request, or one with a further attempt, raised KeyError in Valuation.cache_rank once a full count table had aged; the actions of the whole call were lost. Cause: age() halves a table over 30,000 objects at each call and drops counts under 0.2, also those that open requests read by key. Change: ageing keeps the counts of objects that open requests name; the valuation gets the table of requests, as the queue has it. Nothing is read at a request that was not read before. All digests of tests/decisions/test_differential.py are as they were.

--- a/hallproxy/decisions/router.py
+++ b/hallproxy/decisions/router.py
@@ -50,7 +50,7 @@
         self.outliers = OutlierDetector(context, self.endpoints)
         self.concurrency = ConcurrencyLimit(context, self.endpoints)
         self.overdue = OverdueAttempts(context, self.latency, self.concurrency)
-        self.valuation = Valuation(context, self.endpoints, self.latency)
+        self.valuation = Valuation(context, self.endpoints, self.latency, self.requests)
         self.retry_budget = RetryBudget(context.zone_gateways)
         self.idempotency = IdempotencyRule(context)
         self.purges = PurgeGuard(context)
--- a/hallproxy/decisions/valuation.py
+++ b/hallproxy/decisions/valuation.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from hallproxy.decisions.context import DecisionContext
 from hallproxy.decisions.endpoints import EndpointTable
 from hallproxy.decisions.latency import FILLED, LatencyStatistics
@@ -33,11 +35,16 @@
     """Request counts by object, and the revenue per byte of a cached part (the paper's eq. 11 and 13)."""
 
     def __init__(
-        self, context: DecisionContext, endpoints: EndpointTable, latency: LatencyStatistics
+        self,
+        context: DecisionContext,
+        endpoints: EndpointTable,
+        latency: LatencyStatistics,
+        requests: Mapping[int, RoutedRequest],
     ) -> None:
         self._context = context
         self._endpoints = endpoints
         self._latency = latency
+        self._requests = requests
         self.counts: dict[int, float] = {}  # object -> requests, halved at each interval
         self.largest_terms = [TERM_FLOOR] * len(TERM_PRICES)  # lately
         self.recent_gains = RecentValues()  # of recent fills
@@ -45,13 +52,19 @@
         self._aged_at = -1  # ns; -1 until the first call
 
     def age(self) -> None:
-        """Halve counts and largest terms when the interval is over or the table is full."""
+        """Halve counts and largest terms when the interval is over or the table is full.
+
+        The counts of objects of open requests stay, however small: a further attempt is ranked by them.
+        """
         now = self._context.now
         if self._aged_at < 0:
             self._aged_at = now
         if now - self._aged_at >= COUNT_HALVING_INTERVAL or len(self.counts) > COUNTS_MAX:
             self._aged_at = now
-            self.counts = {key: n / 2 for key, n in self.counts.items() if n / 2 >= COUNT_MIN}
+            in_use = {entry.request.object for entry in self._requests.values()}
+            self.counts = {
+                key: n / 2 for key, n in self.counts.items() if n / 2 >= COUNT_MIN or key in in_use
+            }
             self.largest_terms = [term / 2 for term in self.largest_terms]
 
     def count(self, object_id: int) -> None:
