Hedges: an attempt's endpoints leave what was tried once, however the attempt ends

Effect: ValueError in Router._retry, with the loss of all actions of that call. Cause: a hedge takes the overdue attempt's cache and source off the tried lists, also where it then can't start; when the overdue attempt ended by a reset, a failed connect or 'full' afterwards, they were taken off again. Change: the attempt knows whether its cache and source count as tried.

--- a/hallproxy/decisions/requests.py
+++ b/hallproxy/decisions/requests.py
@@ -15,6 +15,8 @@
     cache: EndpointStatistics
     source: EndpointStatistics
     started_at: int  # ns
+    cache_is_tried: bool = True  # counts among what its request has tried
+    source_is_tried: bool = True
 
     def endpoints(self) -> tuple[EndpointStatistics, ...]:
         """Return the endpoints that the attempt loads, each once."""
@@ -51,6 +53,18 @@
     streaming: bool = False
     lookup_only: bool = False  # the attempt in flight asks only for what the cache has
 
+    def mark_cache_untried(self, attempt: RoutedAttempt) -> None:
+        """Let the attempt's cache not count as tried for this attempt; the second time changes nothing."""
+        if attempt.cache_is_tried:
+            attempt.cache_is_tried = False
+            self.tried_caches.remove(attempt.cache)
+
+    def mark_source_untried(self, attempt: RoutedAttempt) -> None:
+        """Let the attempt's source not count as tried for this attempt; the second time changes nothing."""
+        if attempt.source_is_tried:
+            attempt.source_is_tried = False
+            self.tried_sources.remove(attempt.source)
+
     def timed_out_before_objective(self, event: AttemptEnded) -> bool:
         """Tell whether its client disconnected before an answer could have been late."""
         return event.status is AttemptStatus.TIMEOUT and event.latency < self.objective_at - self.arrived_at
--- a/hallproxy/decisions/router.py
+++ b/hallproxy/decisions/router.py
@@ -190,17 +190,17 @@
     def _retry(self, entry: RoutedRequest, attempt: RoutedAttempt, status: i.AttemptStatus) -> None:
         """Start a further attempt within the budget, queue the request, or answer it."""
         if status in SOURCE_NOT_TRIED:
-            entry.tried_sources.remove(attempt.source)  # another would fetch the part from the origin anew
+            entry.mark_source_untried(attempt)  # another would fetch the part from the origin anew
         lookup_missed = status is i.AttemptStatus.MISS and entry.lookup_only
         if lookup_missed or (status is i.AttemptStatus.FULL and self.concurrency.is_at_limit(entry)):
-            entry.tried_caches.remove(attempt.cache)  # it may have a copy, so it stays the first choice
+            entry.mark_cache_untried(attempt)  # it may have a copy, so it stays the first choice
             if self.concurrency.is_at_limit(entry) or not self.attempts.start(entry):
                 self.queue.enqueue(entry)
             return
         if status is i.AttemptStatus.RESET and not entry.retried_after_reset:
             # Departure: the same cache has or gets the part. Costs one connect where it has died.
             entry.retried_after_reset = True
-            entry.tried_caches.remove(attempt.cache)
+            entry.mark_cache_untried(attempt)
         may_retry = entry.error_count < ERRORS_MAX and self.retry_budget.has_token()
         if may_retry and self.attempts.start(entry):
             self.retry_budget.spend()
@@ -216,8 +216,8 @@
                 continue
             attempt = entry.attempts[number]
             self.idempotency.observe_possible_execution(entry, attempt)
-            entry.tried_caches.remove(attempt.cache)
-            entry.tried_sources.remove(attempt.source)
+            entry.mark_cache_untried(attempt)
+            entry.mark_source_untried(attempt)
             if self.attempts.start(entry):
                 self.retry_budget.spend()
 
--- a/tests/decisions/test_hedging.py
+++ b/tests/decisions/test_hedging.py
@@ -11,7 +11,10 @@
     AttemptEnded,
     AttemptStatus,
     CancelAttempt,
+    Fail,
     Idempotency,
+    Reject,
+    StartAttempt,
 )
 from tests.support.fleet import MS, SECOND, SETTINGS, Driver
 
@@ -126,3 +129,29 @@
             d.wait(50 * MS)
         sent[jammed] = sum(len(d.sent[ident]) - 1 for ident in idents)
     assert sent[1] >= 1 and sent[12] <= 5  # up to the allowance, as they become overdue one by one
+
+
+@pytest.mark.parametrize(
+    "status", [AttemptStatus.RESET, AttemptStatus.CONNECT_FAILED, AttemptStatus.FULL, AttemptStatus.MISS]
+)
+@pytest.mark.parametrize("hedge_starts", [False, True])
+def test_an_overdue_attempt_may_end_in_any_way_after_its_hedge(
+    status: AttemptStatus, hedge_starts: bool
+) -> None:
+    """Guards against an attempt's endpoints being taken off what its request has tried twice."""
+    d = router_with_lost_attempts(max_attempts=3 if hedge_starts else 1)
+    late = d.ask(obj=101)
+    first = d.sent[late][0].endpoint
+    cache_answers_another(d, late)
+    d.router.endpoints.by_id[first].in_flight += 30  # past its load bound: the hedge goes to another cache
+    d.wait(SECOND)
+    d.router.endpoints.by_id[first].in_flight -= 30
+    assert (late, 0) in d.router.overdue.overdue and len(d.sent[late]) == 1 + hedge_starts
+    if hedge_starts:
+        hedged_at = d.sent[late][1].endpoint
+        assert hedged_at != first
+        d.handle(AttemptEnded(late, 1, hedged_at, AttemptStatus.ERROR, 50 * MS))
+    actions = d.handle(AttemptEnded(late, 0, first, status, SECOND))
+    started = [a for a in actions if isinstance(a, StartAttempt) and a.request_id == late]
+    given_up = [a for a in actions if isinstance(a, Fail | Reject) and a.request_id == late]
+    assert len(started) + len(given_up) == 1 and len(started) == hedge_starts
