Quota tree: a full tree is pruned before a request's path is built, not while

Effect: past 20,000 nodes a request was counted on a node outside the tree, and the weight of that node stayed in its parent's active weight: with a bound of 4, a team alone for 10 s had 25 of 100 slots. Cause: QuotaTree._create pruned while the path was being built, and the node just made was neither active nor in use. Change: leaf() prunes first. Path and weights are as before.

--- a/hallproxy/broker/quota_tree.py
+++ b/hallproxy/broker/quota_tree.py
@@ -16,7 +16,7 @@
 SECOND = 1_000_000_000  # ns
 ACTIVE_DURATION = 3 * SECOND  # ns since its last request
 DEMAND_SMOOTHING = 0.05
-MAX_NODES = 20_000  # beyond it unused nodes are dropped
+MAX_NODES = 20_000  # beyond it unused nodes are dropped at the next request
 QuotaPath = tuple[tuple[str, float], ...]  # name and weight of each level, from the top down
 
 
@@ -99,12 +99,17 @@
         self._max_nodes = MAX_NODES
 
     def leaf(self, path: QuotaPath, now: int) -> QuotaNode:
-        """The node of a contract, created where it is new; the path's weights apply from now on."""
+        """The node of a contract, created where it is new; the path's weights apply from now on.
+
+        A tree over its bound is pruned first: nodes that are new here are not active before ``mark_active``.
+        """
+        if self._node_count > self._max_nodes:
+            self.forget_unused(now)
         node = self.root
         for name, weight in path:
             child = node.children.get(name)
             if child is None:
-                child = self._create(node, name, weight, now)
+                child = self._create(node, name, weight)
             elif child.weight != weight:
                 child.set_weight(weight)
             node = child
@@ -140,12 +145,10 @@
             MAX_NODES, 2 * self._node_count
         )  # pruning again at each new node costs too much
 
-    def _create(self, parent: QuotaNode, name: str, weight: float, now: int) -> QuotaNode:
+    def _create(self, parent: QuotaNode, name: str, weight: float) -> QuotaNode:
         self._created += 1
         node = parent.children[name] = QuotaNode(name, weight, parent, self._created)
         self._node_count += 1
-        if self._node_count > self._max_nodes:
-            self.forget_unused(now)
         return node
 
     def _prune(self, node: QuotaNode, now: int) -> int:
