Connection slots: one counted with the other networks is released there

Effect: with a full table of networks each such connection could keep its slot for good, until no client could connect. Cause: disconnect() looked the network up by name again, which may have an entry of its own by then, with nothing to take off. Change: the slots remember which connections the full table counted with the others; disconnect() takes off what was counted.

--- a/hallproxy/broker/connection_slots.py
+++ b/hallproxy/broker/connection_slots.py
@@ -12,7 +12,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from dataclasses import dataclass
 
 from hallproxy.broker.request_rate import RATE_SMOOTHING, SECOND, RequestRateLimit
@@ -48,6 +48,7 @@
         self.connections = 0
         self._request_rate = RequestRateLimit()
         self._networks: OrderedDict[str, _Network] = OrderedDict()  # least recently seen first
+        self._counted_as_other: Counter[str] = Counter()  # connections that the full table had no entry for
 
     def try_connect(self, name: str, now: int) -> bool:
         """Take a connection slot for the network if it may have one."""
@@ -62,14 +63,14 @@
             return False
         network.connections += 1
         self.connections += 1
+        if network is not self._networks.get(name):
+            self._counted_as_other[name] += 1
         return True
 
     def disconnect(self, name: str) -> None:
         """Release a connection slot of the network."""
-        network = self._networks.get(name) or self._networks.get(OTHER_NETWORKS)
-        if network is not None and network.connections:
-            network.connections -= 1
-            self.connections -= 1
+        self._networks[self._counted_under(name)].connections -= 1
+        self.connections -= 1
 
     def exceeds_share(self, name: str) -> bool:
         """Whether the network has more connections than its share."""
@@ -117,6 +118,17 @@
             },
         }
 
+    def _counted_under(self, name: str) -> str:
+        """The network whose count has a connection of this one: a full table counted it with the others.
+
+        An entry with connections is never forgotten, so the one named here is still in the table.
+        """
+        if not self._counted_as_other[name]:
+            del self._counted_as_other[name]
+            return name
+        self._counted_as_other[name] -= 1
+        return OTHER_NETWORKS
+
     def _network(self, name: str, now: int) -> _Network:
         network = self._networks.get(name)
         if network is None:
--- a/tests/broker/test_connection_slots.py
+++ b/tests/broker/test_connection_slots.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-from hallproxy.broker.connection_slots import ConnectionSlots
+import random
+
+import pytest
+
+from hallproxy.broker import connection_slots
+from hallproxy.broker.connection_slots import ACTIVE_DURATION, ConnectionSlots
 from hallproxy.broker.request_rate import OVERLOAD_LAG, ROUND_DURATION
 
 MS, SECOND = 10**6, 10**9
@@ -50,3 +55,47 @@
     for n in range(10_000):
         slots.admit_request(f"10.{n}.0.0/24", START)
     assert len(slots._networks) <= 4_097
+
+
+def connections_by_network(slots: ConnectionSlots) -> int:
+    return sum(network.connections for network in slots._networks.values())
+
+
+def test_a_slot_taken_while_the_table_was_full_is_released_where_it_was_counted(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against slots that no disconnect releases: in the end no client may connect."""
+    monkeypatch.setattr(connection_slots, "MAX_NETWORKS", 2)
+    slots = ConnectionSlots(10)
+    for name in ("a", "b"):
+        assert slots.admit_request(name, START)
+    assert slots.try_connect("late", START)  # counted with the other networks
+    later = START + ACTIVE_DURATION
+    assert slots.try_connect("late", later)  # has an entry of its own by now
+    for remaining in (1, 0):
+        slots.disconnect("late")
+        assert slots.connections == connections_by_network(slots) == remaining
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_every_slot_is_released_while_networks_come_and_go(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against slots that no disconnect releases, with a table of three networks."""
+    monkeypatch.setattr(connection_slots, "MAX_NETWORKS", 3)
+    drawn, slots, now = random.Random(seed), ConnectionSlots(20), START
+    connected: list[str] = []
+    for _ in range(5_000):
+        now += int(drawn.expovariate(1.0) * SECOND)
+        name = f"10.{drawn.randrange(12)}.0.0/24"
+        if drawn.random() < 0.5 and slots.try_connect(name, now):
+            connected.append(name)
+        elif drawn.random() < 0.5:
+            slots.admit_request(name, now)
+        if connected and drawn.random() < 0.4:
+            slots.disconnect(connected.pop(drawn.randrange(len(connected))))
+        assert slots.connections == connections_by_network(slots) == len(connected)
+        assert len(slots._networks) <= 4
+    for name in connected:
+        slots.disconnect(name)
+    assert slots.connections == connections_by_network(slots) == 0
