Idempotency keys: attempts that never left, or outlived their key's entry, are not miscounted

Effect: a repeat was failed although nothing had run, where the only attempt met a closed idle connection; and with a full table a key counted as new while an attempt under it may have run. Cause: keys count attempts by name alone: an unused connection's attempt was counted at each write and taken back once, and the end of an attempt from before an eviction was taken off the key's new entry. Change: a withdrawn attempt takes its record back; an end names the time of its record and leaves a younger entry alone.

--- a/hallproxy/broker/idempotency_keys.py
+++ b/hallproxy/broker/idempotency_keys.py
@@ -34,6 +34,7 @@
 @dataclass(slots=True)
 class _KeyEntry:
     team: str
+    first_sent_at: int  # ns
     expires_at: int  # ns; the window runs from the first attempt that may have run
     possibly_run: int = 0  # attempts, in flight or finished, not proved never to have run
 
@@ -72,16 +73,19 @@
         digest = _digest(key)
         entry = self._entries.get(digest)
         if entry is None:
-            entry = _KeyEntry(team, now + max(0, window - TRANSIT_MARGIN))
+            entry = _KeyEntry(team, now, now + max(0, window - TRANSIT_MARGIN))
             self._add(digest, entry)
         entry.possibly_run += 1
         return True
 
-    def attempt_never_ran(self, team: str, key: str) -> None:
-        """An attempt is proved not to have run; without any other attempt the key counts as new again."""
+    def attempt_never_ran(self, team: str, key: str, sent_at: int) -> None:
+        """An attempt is proved not to have run; without any other attempt the key counts as new again.
+
+        ``sent_at`` (ns) is when it was recorded: it may belong to an entry that was evicted since.
+        """
         digest = _digest(key)
         entry = self._entries.get(digest)
-        if entry is None or entry.team != team:
+        if entry is None or entry.team != team or sent_at < entry.first_sent_at:
             return
         entry.possibly_run -= 1
         if entry.possibly_run <= 0:
--- a/hallproxy/state/admission.py
+++ b/hallproxy/state/admission.py
@@ -182,15 +182,19 @@
     status: i.AttemptStatus,
 ) -> None:
     """Report an attempt's end to the concurrency limit of its endpoint, and to the idempotency keys."""
-    cls = state.request_class(request)
     if attempt.counted_by_broker:
         duration = state.now - attempt.started_at
-        outcome = _attempt_outcome(cls, status, duration)
+        outcome = _attempt_outcome(state.request_class(request), status, duration)
         broker.attempt_ended(attempt.action.endpoint, attempt.request_id, duration, outcome, state.now)
-    if not attempt.written or status not in i.PROVES_NOT_EXECUTED:
-        return
+    if attempt.written and status in i.PROVES_NOT_EXECUTED:
+        key_never_ran(state, broker, request, attempt)
+
+
+def key_never_ran(state: GatewayState, broker: Broker, request: ClientRequest, attempt: Attempt) -> None:
+    """Take back what ``may_send_key`` recorded for a written attempt that did not execute."""
+    cls = state.request_class(request)
     if cls.idempotency is i.Idempotency.IDEMPOTENCY_KEY and request.idempotency_key:
-        broker.idempotency_keys.attempt_never_ran(request.team, request.idempotency_key)
+        broker.idempotency_keys.attempt_never_ran(request.team, request.idempotency_key, attempt.written_at)
 
 
 def _attempt_outcome(request_class: i.RequestClass, status: i.AttemptStatus, duration: int) -> AttemptOutcome:
--- a/hallproxy/state/attempts.py
+++ b/hallproxy/state/attempts.py
@@ -114,6 +114,13 @@
     state.effects.append(SendRequest(connection.id, upstream_request))
 
 
+def withdraw(state: GatewayState, attempt: Attempt) -> None:
+    """None of the attempt's bytes went out: it counts as not written, and may be written elsewhere."""
+    if attempt.written and state.broker is not None:
+        admission.key_never_ran(state, state.broker, state.requests[attempt.request_id].request, attempt)
+    attempt.written = False
+
+
 def _may_send(state: GatewayState, in_flight: InFlightRequest, attempt: Attempt) -> bool:
     """Whether the decision that started the attempt still holds."""
     action = attempt.action
--- a/hallproxy/state/connection_events.py
+++ b/hallproxy/state/connection_events.py
@@ -79,7 +79,7 @@
         attempts.finish(state, attempt, i.AttemptStatus.NOT_SENT)
     elif (unused or out_of_descriptors) and state.endpoints.is_ready(connection.endpoint):
         # The endpoint itself may be well: only its idle connection was not.
-        attempt.written = False
+        attempts.withdraw(state, attempt)
         attempts.connect(state, attempt)
     else:
         was_used = was_open and not unused
--- a/tests/state/test_admission.py
+++ b/tests/state/test_admission.py
@@ -9,6 +9,7 @@
 
 from hallproxy import interface as i
 from hallproxy.broker.contracts import Contract, Contracts, Team
+from hallproxy.broker.idempotency_keys import KeyStatus
 from hallproxy.broker.token_bucket import Rate
 from hallproxy.state import attempts, effects, events
 from tests.support.reducer import MS, SECOND, ReducerHarness, response_kinds
@@ -256,3 +257,24 @@
     harness = ReducerHarness()
     assert harness.state.broker is None
     assert response_kinds(harness.request(1)) == [] and len(harness.state.attempts) == 1
+
+
+@pytest.mark.parametrize("reconnects", [False, True])
+def test_a_key_whose_attempt_never_left_counts_as_new(reconnects: bool) -> None:
+    """Guards against an idle connection that was found closed keeping the key of a request that never ran."""
+    harness = ContractHarness([Contract("a", "s")])
+    harness.send(1, "a")
+    harness.respond()  # leaves an idle connection
+    (connection_id,) = harness.state.connections
+    harness.send(2, "a", KEYED, idempotency_key="k")
+    done = harness.dispatch(events.ConnectionClosed(harness.now, connection_id, unused=True))
+    (opened,) = (e.connection for e in done if isinstance(e, effects.OpenConnection))
+    if reconnects:
+        harness.dispatch(events.ConnectionOpened(harness.now, opened))
+        while harness.state.attempts:  # further attempts, too
+            harness.respond(i.AttemptStatus.FULL)
+    else:
+        harness.dispatch(events.ConnectionClosed(harness.now, opened))
+    assert harness.state.broker is not None
+    status = harness.state.broker.idempotency_keys.check("a", "k", harness.now + 10 * SECOND)
+    assert status is KeyStatus.NEW
