Purges: one whose own time is ahead goes behind the others, which expire before it

Effect: one purge with a time far ahead kept all later ones of its table; when the table was full, its eviction raised the watermark to its time and no copy of any object could be served until then. Cause: expire() looks at the oldest entry alone, and that one is not due. Change: expire() moves an entry whose time is ahead of now behind the others. It counts itself as before.

--- a/hallproxy/lab/capacity/purges.py
+++ b/hallproxy/lab/capacity/purges.py
@@ -37,7 +37,7 @@
         purges.configure(settings, 0)
         began = time.process_time()
         for ident, at in zip(idents, times, strict=True):
-            purges.expire(at)
+            purges.expire(at, at)
             purges.add(ident, 0, at, at, at)
         adds.append((time.process_time() - began) / many * 1e6)
         began = time.process_time()
@@ -53,7 +53,7 @@
     burst = PurgeTable()
     burst.configure(settings, 0)
     for ident, at in zip(idents, times, strict=True):
-        burst.expire(NOW)
+        burst.expire(NOW, NOW)
         burst.add(ident, 0, at, at, NOW)
     used = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
--- a/hallproxy/state/purges.py
+++ b/hallproxy/state/purges.py
@@ -108,18 +108,22 @@
             if not self._is_expired(evicted):
                 self.watermark = _latest(self.watermark, evicted)
 
-    def expire(self, oldest_attempt_at: int) -> None:
+    def expire(self, now: int, oldest_attempt_at: int) -> None:
         """Remove expired purges, a few at a time.
 
-        All attempts in flight were started at ``oldest_attempt_at`` (ns) or later.
+        All attempts in flight were started at ``oldest_attempt_at`` (ns) or later. A purge whose own time is
+        still ahead of ``now`` (ns) goes behind the others, which expire before it.
         """
         self._oldest_attempt_at = oldest_attempt_at
         for table in (self.objects, self.groups):
             for _ in range(min(EXPIRED_PER_EVENT, len(table))):
                 oldest = next(iter(table))
-                if not self._is_expired(table[oldest]):
+                if table[oldest].expiry_counted_from > now:
+                    table.move_to_end(oldest)
+                elif self._is_expired(table[oldest]):
+                    del table[oldest]
+                else:
                     break
-                del table[oldest]
         if self.watermark is not NEVER and self._is_expired(self.watermark):
             self.watermark = NEVER
 
--- a/hallproxy/state/reducer.py
+++ b/hallproxy/state/reducer.py
@@ -40,7 +40,7 @@
 def reduce(state: GatewayState, event: Event) -> list[Effect]:
     """Apply one event to the state; return the effects to carry out, in order."""
     state.now = max(state.now, event.at)
-    state.purges.expire(_oldest_attempt_at(state))
+    state.purges.expire(state.now, _oldest_attempt_at(state))
     EVENT_HANDLERS.get(type(event), _extension_event)(state, event)
     _run_router(state)
     while state.broker is not None and admission.start_queued(state):
