Endpoint list: of several lines of one endpoint in a change the last one holds

Effect: KeyError in the reducer; the router was not told of that change and went on choosing endpoints that were gone. Cause: EndpointList.apply removed an entry once for each line that invalidated it, and judged what stays by any line. Change: lines apply in order, invalidated endpoints are named once, and those gone in the end are removed.

--- a/hallproxy/state/endpoints.py
+++ b/hallproxy/state/endpoints.py
@@ -26,21 +26,29 @@
     processes: dict[bytes, EndpointProcess] = field(default_factory=dict)
 
     def apply(self, change: i.EndpointsChanged, addresses: tuple[str, ...]) -> list[bytes]:
-        """Apply a change of the list; return the endpoints whose open connections lead nowhere any more."""
-        invalidated = self._missing_from(change)
+        """Apply a change of the list; return the endpoints whose open connections lead nowhere any more.
+
+        Of several lines of one endpoint the last one holds.
+        """
+        missing = self._missing_from(change)
+        for endpoint_id in missing:
+            self._remove(endpoint_id)
+        invalidated = dict.fromkeys(missing)  # without repeats, in order
         for endpoint, address in zip(change.endpoints, addresses, strict=True):
             process = EndpointProcess(address, endpoint.started_at)
-            if self.processes.get(endpoint.id, process) != process:
-                invalidated.append(endpoint.id)
+            moved = self.processes.get(endpoint.id, process) != process
+            if moved or endpoint.state is i.EndpointState.GONE:
+                invalidated[endpoint.id] = None
             self.by_id[endpoint.id] = endpoint
             self.processes[endpoint.id] = process
-            if endpoint.state is i.EndpointState.GONE and endpoint.id not in invalidated:
-                invalidated.append(endpoint.id)
-        remaining = {e.id for e in change.endpoints if e.state is not i.EndpointState.GONE}
-        for endpoint_id in invalidated:
-            if endpoint_id not in remaining:
-                del self.by_id[endpoint_id], self.processes[endpoint_id]
-        return invalidated
+        for endpoint in change.endpoints:
+            known = self.by_id.get(endpoint.id)
+            if known is not None and known.state is i.EndpointState.GONE:
+                self._remove(endpoint.id)
+        return list(invalidated)
+
+    def _remove(self, endpoint_id: bytes) -> None:
+        del self.by_id[endpoint_id], self.processes[endpoint_id]
 
     def _missing_from(self, change: i.EndpointsChanged) -> list[bytes]:
         """The known endpoints that a complete list no longer names."""
--- a/tests/state/test_reducer.py
+++ b/tests/state/test_reducer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from dataclasses import replace
 from typing import get_args
 
 import pytest
@@ -123,3 +124,17 @@
     harness.dispatch(events.DownstreamClosed(harness.now, 1))
     harness.dispatch(events.WatchCaughtUp(harness.now))
     assert response_kinds(harness.request(2, class_index=0)) == [events.ResponseKind.SERVED]
+
+
+@pytest.mark.parametrize("last", list(i.EndpointState))
+def test_of_several_lines_of_one_endpoint_the_last_one_holds(last: i.EndpointState) -> None:
+    """Guards against a change that names an endpoint twice: the list was changed, the router not told."""
+    harness = ReducerHarness(stores=1)
+    gone = i.Endpoint(b"s-0", i.EndpointState.GONE)
+    lines = (gone, replace(gone, started_at=START), i.Endpoint(b"s-0", last, started_at=START))
+    change = i.EndpointsChanged(i.EndpointListKind.DELTA, lines)
+    harness.dispatch(events.EndpointListUpdated(harness.now, change, ("a:1", "a:2", "a:3")))
+    listed = [] if last is i.EndpointState.GONE else [b"s-0"]
+    assert list(harness.state.endpoints.by_id) == list(harness.state.endpoints.processes) == listed
+    assert list(harness.state.router.endpoints.by_id) == listed
+    assert harness.state.endpoints.is_ready(b"s-0") is (last is i.EndpointState.READY)
