Files: a write that was dropped is known until it ends, and its file is not written again meanwhile

Effect: a file purged while it was being written and fetched again at once was removed from the disk while the table named it; the next read failed and went upstream. Cause: Kept.written knew a write by the file's name alone and took one write's end for the other's. Change: dropped writes are kept as abandoned until they end; they count towards the limit of writes, and a file that the table names is not removed.

--- a/hallproxy/files/file_cache.py
+++ b/hallproxy/files/file_cache.py
@@ -138,7 +138,8 @@
                 self._file_read(event)
             case FileWritten():
                 usable = self.kept.written(event.name, event.succeeded, self._state.now)
-                if event.succeeded and not usable:  # purged while it was being written
+                if event.succeeded and not usable and event.name not in self.kept.sizes:
+                    # Purged while it was being written.
                     self._state.effects.append(RemoveFile(event.name))
 
     def _file_read(self, event: FileRead) -> None:
--- a/hallproxy/files/kept.py
+++ b/hallproxy/files/kept.py
@@ -52,6 +52,7 @@
     held: int = 0
     sizes: OrderedDict[Name, int] = field(default_factory=OrderedDict)
     writing: dict[Name, int] = field(default_factory=dict)
+    abandoned: set[Name] = field(default_factory=set)  # dropped while they are being written
     checked: set[Name] = field(default_factory=set)  # their bytes were found right since the start
     paused_until: int = 0
 
@@ -76,8 +77,9 @@
 
     def begin(self, name: Name, size: int, now: int) -> list[Name] | None:
         """Whether to write it: those that leave for it, or None where it is not to be kept."""
-        known = name in self.sizes or name in self.writing
-        if known or now < self.paused_until or len(self.writing) >= WRITES:
+        known = name in self.sizes or name in self.writing or name in self.abandoned
+        writes = len(self.writing) + len(self.abandoned)
+        if known or now < self.paused_until or writes >= WRITES:
             return None
         if not 0 < size <= self.most // LARGEST or sum(self.writing.values()) + size > self.most:
             return None
@@ -87,11 +89,14 @@
         return gone
 
     def written(self, name: Name, good: bool, now: int) -> bool:
-        """A write has ended. False: it was dropped meanwhile, and its file has to go."""
-        size = self.writing.pop(name, None)
+        """A write has ended. False: it was dropped meanwhile, or has failed."""
         if not good:
             # A full disk stays full for a while: trying each file would only cost time.
             self.paused_until = now + PAUSE
+        if name in self.abandoned:
+            self.abandoned.remove(name)
+            return False
+        size = self.writing.pop(name, None)
         if size is None:
             return False
         if good:
@@ -118,6 +123,7 @@
             return True
         if (size := self.writing.pop(name, None)) is not None:
             self.held -= size
+            self.abandoned.add(name)
         return False
 
     def purge(self, obj: int, group: int) -> list[Name]:
