SIGHUP while the program starts is pending until the event loop handles it

Effect: a SIGHUP in the first tenths of a second ended the process by the signal; a later one was ignored until the loop ran, so that a configuration replaced after it had been read was not taken up. Cause: main() ignored the signal, but after the imports, and until the loop took it over. Evidence: test_sighup_while_the_program_starts_is_handled_once_it_runs fails without the change.

--- a/hallproxy/__main__.py
+++ b/hallproxy/__main__.py
@@ -2,9 +2,19 @@
 
 from __future__ import annotations
 
+import signal
 import sys
+from collections.abc import Sequence
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the command; returns the exit code."""
+    # Pending until the event loop handles it: its default action would end the process amid the imports.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    from hallproxy import commands
+
+    return commands.main(argv)
 
-from hallproxy.commands import main
 
 if __name__ == "__main__":
     sys.exit(main())
--- a/hallproxy/run/signals.py
+++ b/hallproxy/run/signals.py
@@ -39,4 +39,5 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         event_loop.add_signal_handler(number, signals.stopped.set)
     event_loop.add_signal_handler(signal.SIGHUP, signals.reload.set)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # one that came meanwhile is handled now
     await serve(signals)
--- a/tests/run/test_reload.py
+++ b/tests/run/test_reload.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 import json
+import os
+import signal
+import subprocess
+import sys
 import threading
 import time
 from collections.abc import Callable
@@ -13,6 +17,7 @@
 
 from hallproxy.wire import frames
 from tests.support.gateway import (
+    ROOT,
     ChangeLog,
     Http,
     Platform,
@@ -151,3 +156,36 @@
     assert client.answer()[0] == SERVED
     assert any("beginning with what the configuration knows" in x for x in platform.program.lines)
     assert platform.program.stop() == 0
+
+
+def test_sighup_while_the_program_starts_is_handled_once_it_runs(tmp_path: Path) -> None:
+    """Guards against a signal that ends the process amid its imports, or is lost before the first reload."""
+    platform = Platform(tmp_path).start()
+    platform.program.stop()
+    begun = subprocess.Popen(
+        [sys.executable, "-m", "hallproxy"],
+        cwd=ROOT,
+        env=os.environ | {"EDGE_CONFIG": str(tmp_path / "config.json")},
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    assert begun.stderr is not None
+    try:
+        until(lambda: begun.poll() is not None or blocks(begun.pid, signal.SIGHUP))
+        for _ in range(3):
+            begun.send_signal(signal.SIGHUP)
+        lines = iter(begun.stderr.readline, "")
+        assert any("the configuration was read anew" in line for line in lines)
+        begun.terminate()
+        assert begun.wait(10) == 0
+    finally:
+        begun.kill()
+        begun.wait()
+        begun.stderr.close()
+
+
+def blocks(pid: int, number: signal.Signals) -> bool:
+    """Whether the process holds the signal back, so that our code runs in it."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    mask = next(line.split()[1] for line in status.splitlines() if line.startswith("SigBlk"))
+    return bool(int(mask, 16) >> (number - 1) & 1)
