--- a/tests/state/test_small_bounds.py
+++ b/tests/state/test_small_bounds.py
@@ -13,7 +13,7 @@
 import pytest
 
 from hallproxy import interface as i
-from hallproxy.broker import fair_queue, quota_tree, retry_budget
+from hallproxy.broker import fair_queue, quota_tree, retry_budget, slot_time, source_limit
 from hallproxy.broker.contracts import Contract, Contracts, Organisation, Team
 from hallproxy.broker.idempotency_keys import IdempotencyKeys
 from hallproxy.broker.usage import Usage
@@ -258,6 +258,9 @@
         (quota_tree, "MAX_NODES", 2),
         (fair_queue, "MAX_QUEUED", 2),
         (retry_budget, "MAX_TEAMS", 1),
+        (slot_time, "MAX_COST_CLASSES", 1),
+        (source_limit, "MAX_COST_CLASSES", 1),
+        (source_limit, "MAX_BASELINE_SAMPLES", 1),
     )
     for module, name, value in bounds:
         monkeypatch.setattr(module, name, value)
