SIGTERM: the kill comes 0.7 s after the longest deadline, which counts as 3 s where it is longer

Effect: with deadlines over 3 s, or under 3 s while clients go on requesting, the gateway was killed amid its shutdown and requests it had taken went unanswered. Cause: run/shutdown.py read 'counted as 3 s where it is longer' as 3 s at least; and it waited up to 3 s for quiet, also where the kill comes after 1.7 s.

--- a/hallproxy/lab/soak/plan.py
+++ b/hallproxy/lab/soak/plan.py
@@ -11,7 +11,7 @@
 from hallproxy.lab.capacity import fleet
 
 SECOND = 1_000_000_000  # ns
-LEAST_KILL_DELAY = 3.0  # s; the kill comes no sooner than this, or the longest deadline, ...
+MAX_COUNTED_DEADLINE = 3.0  # s; the kill comes no sooner than the longest deadline, or this, ...
 KILL_MARGIN = 0.7  # s; ...and this after SIGTERM
 STORES = 4
 CLASS_NAMES = ("segment", "small", "close", "once")
@@ -99,7 +99,7 @@
     def kill_delay(self) -> float:
         """s from SIGTERM to SIGKILL: the earliest that the protocol allows."""
         longest = max(entry["deadline_ns"] for entry in self.settings["classes"]) / SECOND
-        return max(LEAST_KILL_DELAY, float(longest)) + KILL_MARGIN
+        return min(MAX_COUNTED_DEADLINE, float(longest)) + KILL_MARGIN
 
 
 def draw_plan(seed: int) -> Plan:
@@ -122,7 +122,7 @@
 def _settings(drawn: random.Random) -> dict[str, Any]:
     settings = fleet.settings_json(zones=1, gateways=1, aim_ms=300)
     base = settings["classes"][0]
-    deadline = drawn.choice((1, 2, 3)) * SECOND
+    deadline = drawn.choice((1, 2, 3, 6)) * SECOND
     window = drawn.choice((SECOND // 2, 2 * SECOND))
     settings["classes"] = [
         base | {"name": "segment", "deadline_ns": deadline},
--- a/hallproxy/run/shutdown.py
+++ b/hallproxy/run/shutdown.py
@@ -17,8 +17,9 @@
 GO_AWAY_AFTER = 0.45  # s until clients are sent a go-away, once the load balancer has noticed
 QUIET_FOR = 0.3  # s without a new request or connection that end the wait for late ones, ...
 MAX_QUIET_WAIT = 3.0  # s ...which ends at this latest, as some clients go on sending all the same
-MIN_DRAIN = 3 * SECOND  # ns
-KILLED_AFTER = 700_000_000  # ns from the longest deadline (``MIN_DRAIN`` at least) to the SIGKILL
+MAX_COUNTED_DEADLINE = 3 * SECOND  # ns; a longer deadline does not put off the SIGKILL
+KILLED_AFTER = 700_000_000  # ns from the longest deadline, as it is counted, to the SIGKILL
+REJECTS_BEFORE = 100_000_000  # ns before all is answered from which new requests are rejected in any case
 EXIT_TIME = 200_000_000  # ns that the process may take to exit
 CONNECTION_END_MARGIN = 500_000_000  # ns before the SIGKILL by which all is answered
 
@@ -64,8 +65,9 @@
         log_line("stopping: no new work is asked for")
         self._clients.stopping = True
         classes = self._loop.state.settings.classes
-        longest = max(MIN_DRAIN, *(request_class.deadline for request_class in classes))
-        self._deadline = self._loop.now() + longest + KILLED_AFTER - CONNECTION_END_MARGIN
+        longest = max((request_class.deadline for request_class in classes), default=0)
+        kill_delay = min(MAX_COUNTED_DEADLINE, longest) + KILLED_AFTER
+        self._deadline = self._loop.now() + kill_delay - CONNECTION_END_MARGIN
         self._loop.dispatch(ShutdownStarted(self._loop.now(), self._deadline))
 
     def advance(self) -> None:
@@ -76,7 +78,8 @@
         if self._listening and elapsed >= ACCEPT_FOR:
             self._listening = False
             self._stop_listening()
-        if self._sent_go_away and not self._listening and not self._rejecting and self._quiet(elapsed):
+        is_last_moment = self._loop.now() >= self._deadline - REJECTS_BEFORE
+        if not self._rejecting and (is_last_moment or self._is_quiet(elapsed)):
             self._reject_new()
 
     def finished(self) -> bool:
@@ -94,7 +97,10 @@
         for connection in list(self._clients.connections):
             connection.go_away()
 
-    def _quiet(self, elapsed: float) -> bool:
+    def _is_quiet(self, elapsed: float) -> bool:
+        """Whether nothing new comes any more, or has come for as long as is waited for that."""
+        if self._listening or not self._sent_go_away:
+            return False
         last = max(self._clients.last_activity_at, self._began_at)
         return self._clock() - last >= QUIET_FOR or elapsed >= MAX_QUIET_WAIT
 
--- a/tests/run/test_event_races.py
+++ b/tests/run/test_event_races.py
@@ -496,6 +496,42 @@
     assert platform.program.wait() == 0 and time.monotonic() - began < 3.7
 
 
+@pytest.mark.timing("the process ends within 1.7 or 3.7 s")
+@pytest.mark.parametrize(("deadline_s", "killed_after"), [(1, 1.7), (6, 3.7)])
+def test_the_process_ends_ahead_of_its_kill_while_a_client_goes_on_requesting(
+    start: Callable[..., Platform], deadline_s: int, killed_after: float
+) -> None:
+    """Guards against requests unanswered at the kill: a deadline over 3 s counts as 3 s."""
+
+    def set_deadlines(settings: dict[str, Any]) -> None:
+        for cls in settings["classes"]:
+            cls["deadline_ns"] = deadline_s * 10**9
+
+    platform = start(changed=set_deadlines)
+    platform.all_reply(lambda seen: None if f"{1:016x}" in seen.path else ok()(seen))
+    hung, going_on = platform.client(), platform.client()
+    hung.ask(row=1, ttl=str(deadline_s * 1000))
+    until(lambda: platform.seen)
+    began = time.monotonic()
+    platform.program.process.send_signal(signal.SIGTERM)
+    asked = 0
+    with contextlib.suppress(OSError):
+        while time.monotonic() - began < killed_after:
+            going_on.ask(row=2)
+            asked += 1
+            if (frame := going_on.read()) is None:
+                break  # it crossed the end of the connection
+            while frame is not None and frame[0] == frames.GO_AWAY:
+                frame = going_on.read()
+            assert frame is not None and frame[2][0] in (SERVED, REFUSED)
+            time.sleep(0.02)
+    assert platform.program.wait() == 0 and time.monotonic() - began < killed_after
+    assert asked > 20
+    while (frame := hung.read()) is not None and frame[0] == frames.GO_AWAY:
+        pass
+    assert frame is not None and frame[2][0] in (REFUSED, FAILED)
+
+
 @pytest.mark.timing("the drain ends within 3.5 s")
 def test_what_a_client_never_reads_does_not_keep_the_process_until_its_kill(
     monkeypatch: pytest.MonkeyPatch,
