--- a/hallproxy/lab/soak/changelog.py
+++ b/hallproxy/lab/soak/changelog.py
@@ -10,6 +10,7 @@
 
 from hallproxy.lab.soak.plan import LogMode
 from hallproxy.lab.soak.rules import NotifiedPurge, Rules
+from hallproxy.lab.soak.server import StandinServer
 
 MS = 0.001  # s
 HEAD_END = b"\r\n\r\n"
@@ -25,20 +26,17 @@
         self.mode = LogMode.GOOD
         self._notified = 0  # number of the last event that the gateway has
         self._sent: dict[asyncio.StreamWriter, tuple[int, float]] = {}  # last number sent there, and when
-        self._connections: set[asyncio.StreamWriter] = set()
         self._more = asyncio.Event()
-        self._server: asyncio.Server | None = None
-        self._port = 0
+        self._server = StandinServer(self._serve)
 
     @property
     def address(self) -> str:
         """HOST:PORT of now."""
-        return f"127.0.0.1:{self._port}"
+        return f"127.0.0.1:{self._server.port}"
 
-    async def start(self, port: int = 0) -> None:
-        """Listen at a port, or at a new one."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
-        self._port = self._server.sockets[0].getsockname()[1]
+    async def start(self) -> None:
+        """Listen at a new port."""
+        await self._server.start()
 
     def add(self, **event: Any) -> None:
         """Add an event with the next number."""
@@ -53,52 +51,44 @@
         """Change how polls are treated; what is open and waits is treated so as well."""
         was, self.mode = self.mode, mode
         if mode is LogMode.DOWN:
-            await self.stop()
+            self.stop()
         elif was is LogMode.DOWN:
-            await self.start(self._port)
+            await self._server.start(self._server.port)
         self._wake()
 
     async def move(self) -> None:
         """Go to a new address; connections to the former one stay open and silent."""
-        if self._server is not None:
-            self._server.close()
-        self._connections.clear()
+        self._server.close_port()
+        self._server.connections.clear()
         await self.start()
 
-    async def stop(self) -> None:
+    def stop(self) -> None:
         """Close the port and reset what is open."""
-        if self._server is not None:
-            self._server.close()
-            self._server = None
-        for writer in list(self._connections):
-            writer.transport.abort()
+        self._server.stop()
 
     def _wake(self) -> None:
         self._more.set()
         self._more = asyncio.Event()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._connections.add(writer)
-        try:
-            while True:
-                head = await reader.readuntil(HEAD_END)
-                poll = POLL.match(head)
-                if poll is None:
-                    self._rules.violate("form", f"a poll that can't be read: {head[:80]!r}")
-                    return
-                self._note_notified(writer, int(poll[1]))
-                await self._answer(writer, int(poll[1]), int(poll[2]) * MS)
-        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
-            pass
-        finally:
-            self._connections.discard(writer)
-            writer.close()
+        while True:
+            head = await reader.readuntil(HEAD_END)
+            poll = POLL.match(head)
+            if poll is None:
+                self._rules.violate("form", f"a poll that can't be read: {head[:80]!r}")
+                return
+            self._note_notified(writer, int(poll[1]))
+            await self._answer(writer, int(poll[1]), int(poll[2]) * MS)
 
     async def _answer(self, writer: asyncio.StreamWriter, since: int, wait: float) -> None:
         until = asyncio.get_running_loop().time() + wait
-        while self.mode is not LogMode.GOOD or writer not in self._connections or since >= len(self.events):
+        while (
+            self.mode is not LogMode.GOOD
+            or writer not in self._server.connections
+            or since >= len(self.events)
+        ):
             left = until - asyncio.get_running_loop().time()
-            silent = self.mode is not LogMode.GOOD or writer not in self._connections
+            silent = self.mode is not LogMode.GOOD or writer not in self._server.connections
             if left <= 0 and not silent:
                 break
             more = self._more
--- a/hallproxy/lab/soak/run.py
+++ b/hallproxy/lab/soak/run.py
@@ -116,9 +116,9 @@
         for client in self._clients:
             if client.transport is not None:
                 client.transport.abort()
-        await self._log.stop()
+        self._log.stop()
         for store in self._stores:
-            await store.stop()
+            store.stop()
 
     # The gateway
 
@@ -199,10 +199,10 @@
             case DisturbanceKind.STORE_DRAIN:
                 self._add_line(store.line("Terminating"))
             case DisturbanceKind.STORE_GONE:
-                await store.stop()
+                store.stop()
                 self._add_line(store.line("Gone"))
             case DisturbanceKind.STORE_RESTART:
-                await store.stop()
+                store.stop()
                 await store.start()
                 self._add_line(store.line(started_at_ms=time.time_ns() // 1_000_000))
             case DisturbanceKind.LOG_MODE:
--- a/hallproxy/lab/soak/stores.py
+++ b/hallproxy/lab/soak/stores.py
@@ -10,6 +10,7 @@
 
 from hallproxy.lab.soak.plan import StoreMode
 from hallproxy.lab.soak.rules import Rules, SentAttempt
+from hallproxy.lab.soak.server import StandinServer
 
 HEAD_END = b"\r\n\r\n"
 REQUEST = re.compile(rb"GET /v2/q/(\w+)/([0-9a-f]{16})/(\d+) HTTP/1\.1\r\n")
@@ -35,22 +36,15 @@
         self._rules = rules
         self._drawn = drawn
         self._copies: dict[tuple[str, str, int], int] = {}  # class, object, part -> born (Unix ms)
-        self._connections: set[asyncio.StreamWriter] = set()
-        self._server: asyncio.Server | None = None
-        self.port = 0
+        self._server = StandinServer(self._serve)
 
     async def start(self) -> None:
         """Listen, at the same port after a restart."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
-        self.port = self._server.sockets[0].getsockname()[1]
+        await self._server.start(self._server.port)
 
-    async def stop(self) -> None:
+    def stop(self) -> None:
         """End the process: its connections are reset, connects refused, its copies gone."""
-        if self._server is not None:
-            self._server.close()
-            self._server = None
-        for writer in list(self._connections):
-            writer.transport.abort()
+        self._server.stop()
         self._copies.clear()
 
     def set_mode(self, mode: StoreMode) -> None:
@@ -59,12 +53,11 @@
 
     def line(self, lifecycle: str = "Ready", started_at_ms: int = 0, kind: str = "std") -> dict[str, Any]:
         """Its line in the list."""
-        return {"instanceId": self.name, "hostPort": f"127.0.0.1:{self.port}", "zone": "zone-0",
+        return {"instanceId": self.name, "hostPort": f"127.0.0.1:{self._server.port}", "zone": "zone-0",
                 "machineType": kind, "cell": 0, "lifecycle": lifecycle, "weight": 100.0,
                 "startedAtMs": started_at_ms}  # fmt: skip
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._connections.add(writer)
         attempt: SentAttempt | None = None
         try:
             while True:
@@ -85,13 +78,9 @@
                 key = class_name, name, part
                 if not await self._answer(reader, writer, attempt, key, fields, began_at):
                     return
-        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
-            pass
         finally:
             if attempt is not None:
                 attempt.is_out = False
-            self._connections.discard(writer)
-            writer.close()
 
     async def _answer(
         self,
