Capacity runs: a SIGTERM amid the spawn of a measurement leaves no process

Effect: the run ended and its measurement went on. Cause: the handler's SystemExit was raised within subprocess.Popen or ahead of the assignment, so nothing ended the process. Change: a SIGTERM during the spawn is handled behind it, inside the block that ends what was spawned.

--- a/hallproxy/lab/capacity/runner.py
+++ b/hallproxy/lab/capacity/runner.py
@@ -64,20 +64,23 @@
         where.mkdir()
         task = {"name": one.name, "x": x, "seed": seed, "tiny": tiny,
                 "where": str(where), "outcome": str(outcome)}  # fmt: skip
-        process = subprocess.Popen(
-            [*COMMAND, json.dumps(task)], cwd=results.ROOT,
-            env={**os.environ, MARK: mark}, stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL,
-            start_new_session=True,
-        )  # fmt: skip
         limit, over = one.minutes * 60, False
+        process: subprocess.Popen[bytes] | None = None
         try:
+            with _termination_deferred():
+                process = subprocess.Popen(
+                    [*COMMAND, json.dumps(task)], cwd=results.ROOT,
+                    env={**os.environ, MARK: mark}, stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL,
+                    start_new_session=True,
+                )  # fmt: skip
             try:
                 process.wait(limit)
             except subprocess.TimeoutExpired:
                 over = True
             left = 0 if over else _left(mark)
         finally:
-            _end(process, mark)
+            if process is not None:
+                _end(process, mark)
         if over:
             return {}, f"over its limit of {limit:g} s"
         values, why = _outcome(one, outcome, process.returncode)
@@ -86,6 +89,24 @@
         return values, _plain(why, scratch)
 
 
+@contextlib.contextmanager
+def _termination_deferred() -> Iterator[None]:
+    """Handle a SIGTERM behind the block: amid a spawn it would leave a process that nobody knows of."""
+    came = False
+
+    def note(_number: int, _frame: object) -> None:
+        nonlocal came
+        came = True
+
+    former = signal.signal(signal.SIGTERM, note)
+    try:
+        yield
+    finally:
+        signal.signal(signal.SIGTERM, former)
+        if came:
+            signal.raise_signal(signal.SIGTERM)
+
+
 def _plain(why: str, scratch: str) -> str:
     """In one line for the results and the page, without where it was on this machine."""
     shown = why.replace(scratch, "scratch").replace(str(results.ROOT), ".")
--- a/tests/lab/test_capacity_tiny_run.py
+++ b/tests/lab/test_capacity_tiny_run.py
@@ -10,8 +10,11 @@
 import subprocess
 import sys
 from pathlib import Path
+from typing import Any
 
-from hallproxy.lab.capacity import results
+import pytest
+
+from hallproxy.lab.capacity import results, runner
 from hallproxy.lab.capacity.__main__ import PAGE, RESULTS
 from hallproxy.lab.capacity.catalogue import catalogue
 from tests.support.capacity_runs import run_of
@@ -86,3 +89,29 @@
             except OSError:
                 pass
     return found
+
+
+def test_a_termination_amid_a_spawn_leaves_no_process(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a process that goes on measuring, as its run was told to end while it was spawned."""
+    spawned: list[subprocess.Popen[bytes]] = []
+    popen = subprocess.Popen
+
+    def spawn(*args: Any, **more: Any) -> subprocess.Popen[bytes]:
+        spawned.append(popen(*args, **more))
+        os.kill(os.getpid(), signal.SIGTERM)
+        return spawned[0]
+
+    def stop(number: int, _frame: object) -> None:
+        raise SystemExit(128 + number)
+
+    monkeypatch.setattr(subprocess, "Popen", spawn)
+    one = catalogue()["stores.cold"]
+    former = signal.signal(signal.SIGTERM, stop)
+    try:
+        with pytest.raises(SystemExit):
+            runner.measure(one, one.sizes[0], 1, tiny=True)
+        assert spawned[0].poll() == -signal.SIGKILL
+    finally:
+        signal.signal(signal.SIGTERM, former)
+        spawned[0].kill()
+        spawned[0].wait()
