SIGHUP is blocked in one place, ahead of the imports

Cause: commands.main blocked it a second time, which nothing needed any more, and a test that calls it in its own process kept the signal blocked there and in what it started. The program does as before.

--- a/hallproxy/commands.py
+++ b/hallproxy/commands.py
@@ -9,7 +9,6 @@
 import asyncio
 import json
 import os
-import signal
 import sys
 from collections.abc import Callable, Sequence
 from functools import partial
@@ -123,8 +122,6 @@
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the command; returns the exit code. An error of configuration is one plain line and a 1."""
     args = _parser().parse_args(argv)
-    # Pending until the event loop handles it: a file that changes after it was read here is read again then.
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     try:
         return COMMANDS[args.command](args)
     except (ConfigError, ContractError, SettingsError, ChangeLogError) as error:
