Leave bytes in the socket while their reader waits for its budget

What callers saw: nothing yet. Cause: tornado's IOStream listens while it is idle, to notice a close, and reads one block then. Change: Stream ignores readiness while no read is pending; the next read registers again. An idle connection to an endpoint keeps 4 KB, not 16.

--- a/hallproxy/run/sockets.py
+++ b/hallproxy/run/sockets.py
@@ -1,4 +1,4 @@
-"""IOStreams with gathered writes, a budget of body bytes, and a buffer for parsing in place."""
+"""IOStreams with gathered writes, and a buffer for parsing in place."""
 
 from __future__ import annotations
 
@@ -6,8 +6,7 @@
 import contextlib
 import socket
 import ssl
-from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from typing import Any
 
 from tornado.iostream import IOStream, SSLIOStream, StreamClosedError
@@ -17,7 +16,7 @@
 
 
 class Stream(IOStream):
-    """An IOStream with reads that do not wait and gathered writes."""
+    """An IOStream with reads that do not wait and gathered writes; it receives only what is asked for."""
 
     @property
     def unsent_bytes(self) -> int:
@@ -32,6 +31,20 @@
         if self.error is not None:
             self.error.__traceback__ = None
 
+    def _handle_events(self, fd: Any, events: int) -> None:
+        """As IOStream's, which also reads a block while no read is pending.
+
+        No budget would count that block, and reads that do not wait would continue behind it.
+        """
+        if events & self.io_loop.READ and not (self.reading() or self._connecting or self.closed()):
+            events &= ~self.io_loop.READ
+            assert self._state is not None, "events arrive only for a registered stream"
+            self._state &= ~self.io_loop.READ  # the next read registers it again
+            self.io_loop.update_handler(self.fileno(), self._state)
+            if not events:
+                return
+        super()._handle_events(fd, events)
+
     async def read_some(self, into: memoryview, timeout: float | None = None) -> int:
         """Read what is available, at least a byte; TimeoutError if there is none within ``timeout`` s."""
         reading = self.read_into(into, partial=True)  # type: ignore[arg-type]
@@ -144,44 +157,13 @@
     return stream
 
 
-class ByteBudget:
-    """Limits the bytes of bodies in memory. A reader over the limit waits, which also stalls its sender.
-
-    Bodies over ``small_limit`` bytes leave the last quarter of the budget to the others, and the two kinds
-    have separate queues: many large bodies must not make small ones wait. 0: all bodies are alike.
-    """
-
-    def __init__(self, limit: Callable[[], int], small_limit: Callable[[], int] = lambda: 0) -> None:
-        self._limit, self._small_limit = limit, small_limit  # called each time: a reload may change them
-        self._acquired = 0  # bytes
-        self._waiters: tuple[deque[asyncio.Future[None]], ...] = (deque(), deque())  # small, large
-
-    async def acquire(self, size: int) -> None:
-        """Wait until ``size`` bytes are free, and reserve them."""
-        small_limit = self._small_limit()
-        large = 0 < small_limit < size
-        while self._acquired and self._acquired + size > self._limit() * (3 if large else 4) // 4:
-            waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-            self._waiters[large].append(waiter)
-            await waiter
-        self._acquired += size
-
-    def release(self, size: int) -> None:
-        """Release ``size`` bytes, and wake all waiters."""
-        self._acquired -= size
-        for queue in self._waiters:
-            while queue:
-                waiter = queue.popleft()
-                if not waiter.done():
-                    waiter.set_result(None)
-
-
 class Buffer:
-    """Received bytes: the first ``filled`` ones of ``data``."""
+    """Received bytes: the first ``filled`` ones of ``data``, which shrinks to its initial size again."""
 
-    __slots__ = ("data", "filled")
+    __slots__ = ("data", "filled", "_initial_size")
 
     def __init__(self, size: int = INITIAL_BUFFER_SIZE) -> None:
+        self._initial_size = size
         self.data = bytearray(size)
         self.filled = 0
 
@@ -208,5 +190,5 @@
         if remaining:
             self.data[:remaining] = self.data[size : self.filled]
         self.filled = remaining
-        if remaining <= INITIAL_BUFFER_SIZE < len(self.data):
-            self.data = self.data[:INITIAL_BUFFER_SIZE]  # frees the memory of a large message
+        if remaining <= self._initial_size < len(self.data):
+            self.data = self.data[: self._initial_size]  # frees the memory of a large message
--- a/hallproxy/run/upstream_connections.py
+++ b/hallproxy/run/upstream_connections.py
@@ -10,11 +10,12 @@
 
 from tornado.iostream import StreamClosedError
 
+from hallproxy.run.byte_budget import ByteBudget
 from hallproxy.run.config import ConfigError, address
 from hallproxy.run.effect_runner import EffectRunner
 from hallproxy.run.log import log_line
 from hallproxy.run.response_reader import read_body, read_head
-from hallproxy.run.sockets import Buffer, ByteBudget, Stream, tcp_stream, tls_client_stream
+from hallproxy.run.sockets import Buffer, Stream, tcp_stream, tls_client_stream
 from hallproxy.state.effects import SendRequest, UpstreamRequest
 from hallproxy.state.events import (
     AttemptResult,
@@ -28,6 +29,7 @@
 THREAD_DECODE_BYTES = 262_144  # size from which a body is decoded in a thread; the platform's are smaller
 CHUNKED_BODY_BYTES = 1024 * 1024  # counted in the budget for a body of unknown length
 READ_BYTES = 2048  # free space in the buffer for the first read of a response
+BUFFER_SIZE = 4096  # initial bytes; a connection keeps them while it is idle
 CREDENTIAL_REJECTIONS = (401, 403, 407)  # statuses; the operator's credentials are wrong, not the endpoint
 
 
@@ -89,7 +91,7 @@
     stream: Stream
     host: str
     tls_name: str | None  # name that the certificate must have; None: without TLS
-    buffer: Buffer = field(default_factory=Buffer)
+    buffer: Buffer = field(default_factory=lambda: Buffer(BUFFER_SIZE))
     request: UpstreamRequest | None = None
     sent_at: int = 0  # Unix ns
 
