Bound requests, responses and pages in bytes, within the configured memory

Cause: requests were bounded by number alone, each counted as 16 KB whatever its bytes and queued ones not at all; the parts of the memory came to 1.8 times what is spare. Evidence: 64 connections of writes took 121 MB of 32, 160 took 273 of 80. Change: a frame's bytes are reserved in a budget once its size is known and released with the response. What does not fit stays unread; after a quarter of the shortest deadline the connection's further requests are dropped as they arrive and refused. Small requests have a quarter of the budget to themselves. Unread responses: the connection that has not read for longest is closed, not the one that is written to, and a response without room becomes "failed". Pages of the change log have a limit that the memory sets. Tests that failed before: test_memory.py, the bursts (121, 174 and 273 MB), stores that hang (120 MB), the page, the sum of the parts. Its cases of unfinished frames and of unread parts did not.

--- a/hallproxy/run/change_log_follower.py
+++ b/hallproxy/run/change_log_follower.py
@@ -10,11 +10,12 @@
 from hallproxy.run.change_log_source import Sources
 from hallproxy.run.config import Address
 from hallproxy.run.log import log_line
-from hallproxy.run.poll_connection import MAX_PAGE_BYTES, PollConnection, RawResponse
+from hallproxy.run.poll_connection import PollConnection, RawResponse
 from hallproxy.run.sockets import Stream
 from hallproxy.wire.changelog import MAX_WAIT_MS, ChangeLogError, decode_page, decompress
 from hallproxy.wire.http1 import Head
 
+MAX_PAGE_BYTES = 16 * 1024 * 1024  # of a body as received, and of the decompressed one
 CONNECT_TIMEOUT = 1.0  # s
 MIN_RECONNECT_INTERVAL = 0.05  # s from one connect to the next
 # While another address has not failed lately:
@@ -79,6 +80,11 @@
         """Decode the page in a body; ChangeLogError where it is invalid."""
         return decode_page(body)
 
+    @property
+    def max_page_bytes(self) -> int:
+        """The most bytes of a page, as received and decompressed; a longer one is an error."""
+        return MAX_PAGE_BYTES
+
     @property
     def polled_twice(self) -> bool:
         """Whether this is the second poll from the same number: a gap in its response is permanent."""
@@ -165,7 +171,7 @@
         short = self._has_alternative(connection.source)
         first_timeout = SHORT_FIRST_TIMEOUT if short else CONNECT_TIMEOUT
         timeout = wait / 1000 + self._response_timeout if wait else first_timeout
-        head, body = await asyncio.wait_for(connection.read_response(), timeout)
+        head, body = await asyncio.wait_for(connection.read_response(self.max_page_bytes), timeout)
         return RawResponse(polled_at, connection.source, head, body)
 
     def _has_alternative(self, address: Address) -> bool:
@@ -190,7 +196,7 @@
     def _decode(self, raw: RawResponse) -> bytes:
         if not self._compressed:
             return raw.body
-        return decompress(raw.body, raw.head.fields.get("content-encoding", ""), MAX_PAGE_BYTES)
+        return decompress(raw.body, raw.head.fields.get("content-encoding", ""), self.max_page_bytes)
 
     def _try_preferred(self, sources: Sources, connection: PollConnection) -> None:
         """Start the trial of a preferred address, if one is due; polls do not wait for it."""
--- a/hallproxy/run/change_log_poller.py
+++ b/hallproxy/run/change_log_poller.py
@@ -37,6 +37,11 @@
         """The runner's clock."""
         return self._runner.now()
 
+    @property
+    def max_page_bytes(self) -> int:
+        """The gateway's limit, which its memory sets."""
+        return self._runner.state.limits.page_bytes
+
     async def wait_until_current(self) -> None:
         """Wait for the first response, for at most ``FIRST_RESPONSE_TIMEOUT``.
 
--- a/hallproxy/run/downstream_connection.py
+++ b/hallproxy/run/downstream_connection.py
@@ -8,11 +8,20 @@
 
 from tornado.iostream import StreamClosedError
 
+from hallproxy.run.byte_budget import ByteBudget
 from hallproxy.run.effect_runner import EffectRunner
+from hallproxy.run.frame_reader import FrameReader, ReceivedFrame, RejectedFrame
 from hallproxy.run.log import log_line
 from hallproxy.run.platform_teams import PlatformTeams
-from hallproxy.run.sockets import Buffer, Stream
-from hallproxy.state.events import ClientRequest, DownstreamClosed, RequestReceived, Response
+from hallproxy.run.sockets import Stream
+from hallproxy.state.events import (
+    ClientRequest,
+    DownstreamClosed,
+    FailureReason,
+    RequestReceived,
+    Response,
+    ResponseKind,
+)
 from hallproxy.state.lifecycle import BUSY
 from hallproxy.wire import frames
 
@@ -20,14 +29,14 @@
 MAX_UNSENT_BYTES = 2 * 1024 * 1024  # for a client that does not read; over that it is closed
 FRAME_TIMEOUT = 2.0  # s for the first frame, and for the rest of each one that has begun
 MAX_INVALID_REQUESTS = 16  # on one connection; then it is closed
-BUFFER_SIZE = 2048  # initial bytes
-MIN_READ_BYTES = 1024  # free space in the buffer for each read, ...
-MAX_READ_BYTES = 16_384  # ...and its maximum, whatever length a frame claims
-MAX_READ_PASSES = 8  # reads before the received requests are started
+MAX_RECEIVED_BYTES = 131_072  # read before the received requests are started
 LINGER_DURATION = 0.5  # s for which a connection is read after its write side is closed, ...
 MAX_LINGER_BYTES = 262_144  # ...or until this many bytes
 UNSENT_POLL_INTERVAL = 0.02  # s between checks whether the last bytes have been sent
 MAX_UNSENT_WAIT = 3.0  # s for which a client that reads nothing can delay the close of its connection
+SECOND = 1_000_000_000  # ns
+# In place of a response for which a client that reads slowly leaves no memory.
+UNSENT_LIMIT_REACHED = Response(ResponseKind.FAILED, reason=FailureReason.BUSY)
 
 
 class Owner(Protocol):
@@ -38,6 +47,11 @@
     teams: PlatformTeams | None
     stopping: bool
     last_activity_at: float
+    request_budget: ByteBudget
+
+    def max_memory_wait(self) -> float:
+        """How long (s) requests may wait unread for memory."""
+        ...
 
     def enqueue(self, connection: DownstreamConnection, stream_id: int) -> None:
         """Queue a request that has been received."""
@@ -51,8 +65,12 @@
         """Start queued requests, up to the limit of this turn of the event loop."""
         ...
 
-    def exceeds_unsent_limit(self) -> bool:
-        """Whether all connections together have too many unsent bytes."""
+    def has_room_for(self, size: int) -> bool:
+        """Whether all connections together may have ``size`` more unsent bytes."""
+        ...
+
+    def shed_unsent(self) -> None:
+        """Close connections whose responses stay unread, until all have few enough unsent bytes."""
         ...
 
     def linger(self, connection: DownstreamConnection) -> None:
@@ -69,7 +87,16 @@
     """A request that has been received and not started yet."""
 
     payload: bytes
-    received_at: int  # Unix ns
+    received_at: int  # Unix ns; the earliest that it can have arrived
+    reserved: int  # bytes of the budget for requests
+
+
+@dataclass(slots=True, frozen=True)
+class StartedRequest:
+    """A request that awaits its response."""
+
+    downstream: int  # the runner's number
+    reserved: int  # bytes of the budget for requests
 
 
 class DownstreamConnection:
@@ -86,12 +113,14 @@
         self._stream = stream
         self._address = address
         self.queued: dict[int, QueuedRequest] = {}  # by stream
-        self.in_flight: dict[int, int] = {}  # stream -> the runner's downstream number
+        self.in_flight: dict[int, StartedRequest] = {}  # by stream
         self.has_requested = False  # a complete frame has been received
         self.ending = False
         self.write_closed = False
         self._clock = asyncio.get_running_loop().time
+        self._reader = FrameReader(stream, owner.request_budget, owner.max_memory_wait)
         self.idle_since = self._clock()
+        self.unsent_since = self._clock()  # since when the client has not read all; valid with unsent bytes
         self._invalid_requests = 0
         self._sent_go_away = False
         self._frame_timer: asyncio.TimerHandle | None = None
@@ -99,100 +128,109 @@
 
     async def serve(self) -> None:
         """Read frames until the connection ends."""
-        buffer = Buffer(BUFFER_SIZE)
         # Ends connections that never send a complete frame; others may be idle without limit.
         self._set_frame_timeout(FRAME_TIMEOUT)
         try:
-            await self._read(buffer)
+            await self._read()
         except StreamClosedError:
             pass
         finally:
             self._set_frame_timeout(None)
+            self._reader.close()
             self._abandon_requests()
             self._owner.discard(self)
             self._stream.close()
 
-    async def _read(self, buffer: Buffer) -> None:
+    async def _read(self) -> None:
         dropped = 0
-        missing = 0  # bytes of the next frame
         while not (self.write_closed and dropped > MAX_LINGER_BYTES):
-            await buffer.fill(self._stream, min(MAX_READ_BYTES, max(MIN_READ_BYTES, missing)))
+            await self._reader.wait()
             if not self.ending:
-                missing = self._receive(buffer)
+                self._receive()
             if self.ending:
-                dropped += buffer.filled
-                buffer.discard(buffer.filled)
+                dropped += self._reader.discard_all()
                 if dropped > MAX_LINGER_BYTES and not self.write_closed:
                     # Throttles a client that keeps sending after an error, while responses are still unsent.
                     await asyncio.sleep(UNSENT_POLL_INTERVAL)
 
     def _abandon_requests(self) -> None:
         """Drop the requests of a client that has disconnected."""
-        for stream_id in list(self.queued):
+        for stream_id, queued in self.queued.items():
             self._owner.dequeue(self, stream_id)
+            self._owner.request_budget.release(queued.reserved)
         self.queued.clear()
-        for downstream in list(self.in_flight.values()):
-            self._close_downstream(downstream)
+        for started in list(self.in_flight.values()):
+            self._close_downstream(started)
         self.in_flight.clear()
 
-    def _close_downstream(self, downstream: int) -> None:
+    def _close_downstream(self, started: StartedRequest) -> None:
         runner = self._owner.runner
-        runner.response_callbacks.pop(downstream, None)
-        runner.dispatch(DownstreamClosed(runner.now(), downstream))
+        runner.response_callbacks.pop(started.downstream, None)
+        runner.dispatch(DownstreamClosed(runner.now(), started.downstream))
+        self._owner.request_budget.release(started.reserved)
 
-    def _receive(self, buffer: Buffer) -> int:
-        """Read all received data, then start its requests; returns the bytes missing of the next frame.
+    def _receive(self) -> None:
+        """Read all received data, then start its requests.
 
         Reading comes first, as a request may be followed by its cancellation or the connection's end, and is
         not started then. StreamClosedError if the client has closed.
         """
-        missing = 0
-        decoded = 0
-        for _ in range(MAX_READ_PASSES):
-            size = buffer.fill_available(self._stream, MAX_READ_BYTES)
+        decoded = received = 0
+        while True:
             try:
-                end, missing = self._decode_frames(buffer)
+                decoded += self._decode_frames()
             except frames.FrameError as error:
                 self._fail(str(error))
                 break
-            decoded += end
-            buffer.discard(end)
-            if size == 0:
-                raise StreamClosedError()
+            if self._reader.needs_memory or received >= MAX_RECEIVED_BYTES:
+                break
+            size = self._reader.read_available()
             if size is None:
                 break
+            if size == 0:
+                raise StreamClosedError()
+            received += size
         if decoded:
             self.idle_since = self._clock()
         if not self.ending:
-            self._renew_frame_timeout(decoded > 0, missing > 0)
+            self._renew_frame_timeout(decoded > 0)
         self._owner.start_queued()
-        return missing
 
-    def _renew_frame_timeout(self, completed: bool, begun: bool) -> None:
+    def _renew_frame_timeout(self, completed: bool) -> None:
+        # A frame that waits for memory is incomplete because it is not read.
+        begun = self._reader.missing > 0 and not self._reader.needs_memory
         if completed or not begun:
             self._set_frame_timeout(FRAME_TIMEOUT if begun else None)
         elif self._frame_timer is None:
             self._set_frame_timeout(FRAME_TIMEOUT)
 
-    def _decode_frames(self, buffer: Buffer) -> tuple[int, int]:
-        """Handle all complete frames; returns their bytes, and the bytes missing of the next one."""
-        end = 0
-        with memoryview(buffer.data) as data, data[: buffer.filled] as view:
-            while (decoded := frames.next_frame(view[end:])) is not None:
-                frame, size = decoded
-                end += size
+    def _decode_frames(self) -> int:
+        """Handle all frames that are complete and have their memory; returns their bytes."""
+        try:
+            while (frame := self._reader.next_frame()) is not None:
                 self.has_requested = True
-                try:
-                    self._handle_frame(frame)
-                finally:
-                    frame.payload.release()  # the buffer can't be resized while a view of it exists
-            missing = frames.frame_size(view[end:]) - (buffer.filled - end) if end < buffer.filled else 0
-        return end, missing
-
-    def _handle_frame(self, frame: frames.Frame) -> None:
-        if frame.kind == frames.REQUEST:
-            self._queue_request(frame)
-        elif frame.kind == frames.CANCEL:
+                if isinstance(frame, RejectedFrame):
+                    self._check_new(frame.stream)
+                    self._write(frames.encode_response(frame.stream, BUSY))
+                elif not self._is_queued(frame):
+                    self._owner.request_budget.release(frame.reserved)
+        finally:
+            decoded = self._reader.discard_decoded()
+        return decoded
+
+    def _is_queued(self, frame: ReceivedFrame) -> bool:
+        """Handle the frame; returns whether it is in the queue now, with its memory."""
+        try:
+            if frame.kind == frames.REQUEST:
+                return self._queue_request(frame)
+            self._handle_control_frame(frame)
+        except frames.FrameError:
+            self._owner.request_budget.release(frame.reserved)
+            raise
+        return False
+
+    def _handle_control_frame(self, frame: ReceivedFrame) -> None:
+        if frame.kind == frames.CANCEL:
             self._cancel(frame.stream)
         elif frame.kind == frames.READINESS_REQUEST:
             code = frames.SERVED if not self._owner.stopping else frames.REJECTED
@@ -200,40 +238,46 @@
         else:
             raise frames.FrameError(f"a frame of type {frame.kind}")
 
-    def _queue_request(self, frame: frames.Frame) -> None:
-        stream_id = frame.stream
+    def _check_new(self, stream_id: int) -> None:
         self._owner.last_activity_at = self._clock()
         if not stream_id or stream_id in self.in_flight or stream_id in self.queued:
             raise frames.FrameError(f"stream {stream_id} is not new")
+
+    def _queue_request(self, frame: ReceivedFrame) -> bool:
+        stream_id = frame.stream
+        self._check_new(stream_id)
         if len(self.in_flight) + len(self.queued) >= MAX_IN_FLIGHT:
             # A rejection fails this request only; closing the connection would fail all in flight.
             self._reject_request(frames.encode_response(stream_id, BUSY))
-            return
-        self.queued[stream_id] = QueuedRequest(bytes(frame.payload), self._owner.runner.now())
+            return False
+        received_at = self._owner.runner.now() - int(frame.waited * SECOND)
+        self.queued[stream_id] = QueuedRequest(frame.payload, received_at, frame.reserved)
         self._owner.enqueue(self, stream_id)
+        return True
 
     def _cancel(self, stream_id: int) -> None:
-        if self.queued.pop(stream_id, None) is not None:
+        queued = self.queued.pop(stream_id, None)
+        if queued is not None:
             self._owner.dequeue(self, stream_id)
+            self._owner.request_budget.release(queued.reserved)
             return
-        downstream = self.in_flight.pop(stream_id, None)
-        if downstream is not None:
-            self._close_downstream(downstream)
+        started = self.in_flight.pop(stream_id, None)
+        if started is not None:
+            self._close_downstream(started)
 
     def start_request(self, stream_id: int) -> None:
         """Dispatch a queued request; an invalid one is answered with an error."""
         queued = self.queued.pop(stream_id)
-        if self._stream.closed():
-            return
-        request = self._decode_request(stream_id, queued.payload)
+        request = None if self._stream.closed() else self._decode_request(stream_id, queued.payload)
         if request is None:
+            self._owner.request_budget.release(queued.reserved)
             return
         if self._owner.teams is not None:
             request = self._owner.teams.assign_owner(request, self._address)
         runner = self._owner.runner
         now = runner.now()
         downstream = runner.register_downstream(lambda response: self._respond(stream_id, response))
-        self.in_flight[stream_id] = downstream
+        self.in_flight[stream_id] = StartedRequest(downstream, queued.reserved)
         # The client's deadline counts from the arrival and so includes the time in the queue.
         time_left = max(0, request.time_left - (now - queued.received_at))
         runner.dispatch(RequestReceived(now, downstream, replace(request, time_left=time_left)))
@@ -269,20 +313,32 @@
             self._frame_timer = event_loop.call_later(timeout, self._fail, "no whole frame in time")
 
     def _respond(self, stream_id: int, response: Response) -> None:
-        self.in_flight.pop(stream_id, None)
+        started = self.in_flight.pop(stream_id, None)
+        if started is not None:
+            self._owner.request_budget.release(started.reserved)
+        if not self._has_room_for(len(response.body)):
+            response = UNSENT_LIMIT_REACHED
         self._write(frames.encode_response(stream_id, response))
         if self.ending:
             self._finish_writing()
 
+    def _has_room_for(self, size: int) -> bool:
+        """Whether ``size`` more bytes may be written; always to a client that has read everything."""
+        return not (size and self._stream.unsent_bytes) or self._owner.has_room_for(size)
+
     def _write(self, pieces: list[bytes]) -> None:
+        if not self._stream.unsent_bytes:
+            self.unsent_since = self._clock()
         try:
             self._stream.write_pieces(pieces)
         except StreamClosedError:
             return  # serve() ends the connection
         unsent = self._stream.unsent_bytes
-        if unsent > MAX_UNSENT_BYTES or (unsent and self._owner.exceeds_unsent_limit()):
+        if unsent > MAX_UNSENT_BYTES:
             log_line("a client does not read its responses: connection closed")
             self._stream.close()
+        elif unsent:
+            self._owner.shed_unsent()
 
     def end(self) -> None:
         """Accept no more requests; close the write side after the last response."""
@@ -309,7 +365,7 @@
             event_loop.call_later(UNSENT_POLL_INTERVAL, self._finish_writing)
 
     def close(self) -> None:
-        """Close at once, even with unread bytes: only where the descriptor is needed."""
+        """Close at once, even with unread bytes: only where the descriptor or the memory is needed."""
         self._owner.discard(self)
         self._stream.close()
 
--- a/hallproxy/run/downstream_connections.py
+++ b/hallproxy/run/downstream_connections.py
@@ -5,8 +5,10 @@
 import asyncio
 import socket
 
+from hallproxy.run.byte_budget import ByteBudget
 from hallproxy.run.downstream_connection import LINGER_DURATION, DownstreamConnection
 from hallproxy.run.effect_runner import EffectRunner
+from hallproxy.run.log import log_line
 from hallproxy.run.platform_teams import PlatformTeams
 from hallproxy.run.sockets import tcp_stream
 
@@ -14,6 +16,9 @@
 MAX_LINGERING = 16  # connections; over that the oldest is closed at once
 SILENT_AGE = 0.3  # s from which a connection without a request is ended first for another
 END_POLL_INTERVAL = 0.002  # s
+SMALL_REQUEST_BYTES = 4096  # up to which a request may use the last quarter of the memory for requests
+MEMORY_WAIT_SHARE = 0.25  # of the shortest deadline, for which requests may wait unread for memory
+SECOND = 1_000_000_000  # ns
 
 
 class DownstreamConnections:
@@ -28,6 +33,10 @@
         self.teams: PlatformTeams | None = None  # None: requests are not attributed to teams
         self.stopping = False  # the process is shutting down: not ready for new requests
         self.last_activity_at = 0.0  # event loop's time of the last request or connection
+        # From a request's first byte to its response: frames, queued requests, bodies in flight.
+        self.request_budget = ByteBudget(
+            lambda: runner.state.limits.request_bytes, lambda: SMALL_REQUEST_BYTES
+        )
         self._queue: dict[tuple[DownstreamConnection, int], None] = {}  # in the order of arrival
         self._starts_left = MAX_STARTS_PER_TURN  # in this turn of the event loop
         self._turn_scheduled = False
@@ -67,9 +76,27 @@
             c.unsent_bytes for c in self.connections
         )
 
-    def exceeds_unsent_limit(self) -> bool:
-        """Whether all connections together have too many unsent bytes."""
-        return sum(c.unsent_bytes for c in self.connections) > self.runner.state.limits.unsent_bytes
+    def max_memory_wait(self) -> float:
+        """How long (s) requests may wait unread for memory; what is left of their time is for the answer."""
+        classes = self.runner.state.settings.classes
+        return MEMORY_WAIT_SHARE * min(request_class.deadline for request_class in classes) / SECOND
+
+    def has_room_for(self, size: int) -> bool:
+        """Whether all connections together may have ``size`` more unsent bytes."""
+        return self._unsent_bytes() + size <= self.runner.state.limits.unsent_bytes
+
+    def _unsent_bytes(self) -> int:
+        return sum(c.unsent_bytes for c in self.connections)
+
+    def shed_unsent(self) -> None:
+        """Close connections whose responses stay unread, until all have few enough unsent bytes.
+
+        The one that has not read all for the longest time goes first: another may be about to read.
+        """
+        while self._unsent_bytes() > self.runner.state.limits.unsent_bytes:
+            slow = min((c for c in self.connections if c.unsent_bytes), key=lambda c: c.unsent_since)
+            log_line("too many responses are unread: the connection that has not read for longest is closed")
+            slow.close()
 
     def discard(self, connection: DownstreamConnection) -> None:
         """Remove a connection that is closed."""
--- /dev/null
+++ b/hallproxy/run/frame_reader.py
@@ -0,0 +1,158 @@
+"""Reading a client's frames within the limit of bytes that clients' requests may take in memory."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from hallproxy.run.byte_budget import ByteBudget
+from hallproxy.run.sockets import Buffer, Stream
+from hallproxy.wire import frames
+
+BUFFER_SIZE = 2048  # initial bytes
+MIN_READ_BYTES = 1024  # free space in the buffer for each read that waits
+READ_AHEAD_BYTES = 4096  # read beyond the frames that have their memory
+MAX_READ_BYTES = 16_384  # in one read, whatever length a frame claims
+
+
+@dataclass(slots=True, frozen=True)
+class ReceivedFrame:
+    """A complete frame. Its ``reserved`` bytes of the budget are the receiver's to release."""
+
+    kind: int
+    stream: int
+    payload: bytes
+    reserved: int
+    waited: float  # s; the longest that it can have been unread, as there was no memory
+
+
+@dataclass(slots=True, frozen=True)
+class RejectedFrame:
+    """A request's frame that was dropped as it arrived, as there was no memory for it in time."""
+
+    stream: int
+
+
+@dataclass(slots=True)
+class _Drop:
+    stream: int
+    remaining: int  # bytes
+
+
+class FrameReader:
+    """Reads frames, each within bytes that are reserved in ``budget`` as soon as its size is known.
+
+    Without free bytes the reader waits and the rest stays unread, which stalls the client. Frames that would
+    have to wait longer than ``max_wait`` (s) in all are dropped as they arrive, so that each is answered.
+    """
+
+    def __init__(self, stream: Stream, budget: ByteBudget, max_wait: Callable[[], float]) -> None:
+        self._stream = stream
+        self._budget = budget
+        self._max_wait = max_wait
+        self._clock = asyncio.get_running_loop().time
+        self._buffer = Buffer(BUFFER_SIZE)
+        self._offset = 0  # bytes of the buffer that are decoded
+        self._reserved = 0  # bytes, for the frame at the offset
+        self._drop: _Drop | None = None
+        self._waiting_since: float | None = None  # None: nothing that had to wait is still unread
+        self._needed = 0  # bytes that the frame at the offset waits for
+        self.missing = 0  # bytes of the frame that has begun
+
+    @property
+    def needs_memory(self) -> bool:
+        """Whether the next frame waits for memory."""
+        return self._needed > 0
+
+    async def wait(self) -> None:
+        """Wait for bytes to decode, or for the memory of the next frame, as long as it may wait."""
+        if not self._needed:
+            free = min(MAX_READ_BYTES, max(MIN_READ_BYTES, self.missing))
+            await self._buffer.fill(self._stream, free)
+            return
+        try:
+            await asyncio.wait_for(self._budget.acquire(self._needed), max(0.0, self._wait_left()))
+        except TimeoutError:
+            return  # dropped by the next call of ``next_frame``
+        self._reserved = self._needed
+
+    def read_available(self) -> int | None:
+        """Read without waiting; returns the same as ``Stream.read_available``."""
+        limit = min(MAX_READ_BYTES, self.missing) if self.missing else READ_AHEAD_BYTES
+        size = self._buffer.fill_available(self._stream, limit)
+        if size is None and not self._buffer.filled and self._drop is None:
+            self._waiting_since = None
+        return size
+
+    def next_frame(self) -> ReceivedFrame | RejectedFrame | None:
+        """The next frame; None if more bytes or memory are needed. FrameError for an invalid one."""
+        self.missing = self._needed = 0
+        if self._drop is not None:
+            return self._drop_available(self._drop)
+        buffer = self._buffer
+        with memoryview(buffer.data) as data, data[self._offset : buffer.filled] as view:
+            header = frames.decode_header(view)
+            if header is None:
+                self.missing = frames.HEAD.size - len(view) if len(view) else 0
+                return None
+            if not self._reserve(header.size):
+                if self._wait_left() > 0:
+                    self._needed = header.size
+                    return None
+            elif len(view) < header.size:
+                self.missing = header.size - len(view)
+                return None
+            else:
+                return self._complete(header, bytes(view[frames.HEAD.size : header.size]))
+        if header.kind != frames.REQUEST:
+            raise frames.FrameError(f"a frame of type {header.kind} and {header.size} bytes")
+        self._drop = _Drop(header.stream, header.size)
+        return self._drop_available(self._drop)
+
+    def _reserve(self, size: int) -> bool:
+        if not self._reserved and self._budget.try_acquire(size):
+            self._reserved = size
+        if not self._reserved and self._waiting_since is None:
+            self._waiting_since = self._clock()
+        return self._reserved > 0
+
+    def _wait_left(self) -> float:
+        assert self._waiting_since is not None, "only frames that have to wait are asked for"
+        return self._waiting_since + self._max_wait() - self._clock()
+
+    def _complete(self, header: frames.FrameHeader, payload: bytes) -> ReceivedFrame:
+        self._offset += header.size
+        reserved, self._reserved = self._reserved, 0
+        waited = 0.0 if self._waiting_since is None else self._clock() - self._waiting_since
+        return ReceivedFrame(header.kind, header.stream, payload, reserved, waited)
+
+    def _drop_available(self, drop: _Drop) -> RejectedFrame | None:
+        size = min(drop.remaining, self._buffer.filled - self._offset)
+        self._offset += size
+        drop.remaining -= size
+        self.missing = drop.remaining
+        if drop.remaining:
+            return None
+        self._drop = None
+        return RejectedFrame(drop.stream)
+
+    def discard_decoded(self) -> int:
+        """Remove the decoded bytes from the buffer; returns their number."""
+        size, self._offset = self._offset, 0
+        self._buffer.discard(size)
+        return size
+
+    def discard_all(self) -> int:
+        """Remove all received bytes and release their memory; returns their number."""
+        size = self._buffer.filled
+        self._offset = 0
+        self._buffer.discard(size)
+        self.close()
+        return size
+
+    def close(self) -> None:
+        """Release the memory that is reserved for an incomplete frame."""
+        self.missing = self._needed = 0
+        reserved, self._reserved = self._reserved, 0
+        self._budget.release(reserved)
--- a/hallproxy/run/poll_connection.py
+++ b/hallproxy/run/poll_connection.py
@@ -12,8 +12,6 @@
 from hallproxy.wire.changelog import encode_poll
 from hallproxy.wire.http1 import Head
 
-MAX_PAGE_BYTES = 16 * 1024 * 1024  # of a body as received, and of the decompressed one
-
 
 @dataclass(slots=True, frozen=True)
 class RawResponse:
@@ -48,10 +46,10 @@
         host = f"{self.source[0]}:{self.source[1]}"
         self.stream.write_pieces([encode_poll(since, wait, host, compressed)])
 
-    async def read_response(self) -> tuple[Head, bytes]:
-        """The head and the complete body."""
+    async def read_response(self, max_bytes: int) -> tuple[Head, bytes]:
+        """The head and the complete body; HttpError for one over ``max_bytes``."""
         head = await read_head(self.stream, self.buffer)
-        return head, await read_body(self.stream, self.buffer, head, MAX_PAGE_BYTES)
+        return head, await read_body(self.stream, self.buffer, head, max_bytes)
 
     def close(self) -> None:
         """Close at once; a pending read fails."""
--- a/hallproxy/state/limits.py
+++ b/hallproxy/state/limits.py
@@ -19,6 +19,8 @@
         small_body_bytes: bytes up to which a body may also use the last quarter of ``body_bytes``;
             0: all bodies are treated alike.
         unsent_bytes: bytes that all clients together may leave unread.
+        request_bytes: bytes of clients' requests, from their receipt to their response.
+        page_bytes: bytes of a page of the change log.
         idle_timeout: ns after which an idle connection to an endpoint is closed.
         local_cache_bytes: bytes of bodies in the local cache; 0: there is none.
         negative_ttl: ns for which "not found" is cached; 0: never.
@@ -32,6 +34,8 @@
     body_bytes: int = 32 * MB
     small_body_bytes: int = 0
     unsent_bytes: int = 24 * MB
+    request_bytes: int = 16 * MB
+    page_bytes: int = 16 * MB
     idle_timeout: int = 10 * SECOND
     local_cache_bytes: int = 0
     negative_ttl: int = 0
--- a/hallproxy/wire/frames.py
+++ b/hallproxy/wire/frames.py
@@ -39,33 +39,41 @@
 
 @dataclass(slots=True, frozen=True)
 class Frame:
-    """One frame of a connection; ``payload`` is a view into the connection's buffer."""
+    """One frame of a connection; ``payload`` is a view into the buffer that it was decoded from."""
 
     kind: int
     stream: int
     payload: memoryview
 
 
-def next_frame(buffer: memoryview) -> tuple[Frame, int] | None:
-    """The first frame of the buffer and its size on the wire; None while it is incomplete."""
+@dataclass(slots=True, frozen=True)
+class FrameHeader:
+    """The start of a frame; ``size``: bytes of the whole frame on the wire."""
+
+    size: int
+    kind: int
+    stream: int
+
+
+def decode_header(buffer: memoryview) -> FrameHeader | None:
+    """The header of the frame that the buffer begins with; None while it is incomplete."""
     if len(buffer) < SIZE.size:
         return None
     (length,) = SIZE.unpack_from(buffer)
     if not MIN_FRAME_BYTES <= length <= MAX_REQUEST_FRAME_BYTES:
         raise FrameError(f"a frame of {length} bytes")
-    end = SIZE.size + length
-    if len(buffer) < end:
+    if len(buffer) < HEAD.size:
         return None
     _, kind, stream = HEAD.unpack_from(buffer)
-    return Frame(kind, stream, buffer[HEAD.size : end]), end
+    return FrameHeader(SIZE.size + length, kind, stream)
 
 
-def frame_size(buffer: memoryview) -> int:
-    """The total size in bytes of the frame that the buffer begins with."""
-    if len(buffer) < SIZE.size:
-        return HEAD.size
-    (length,) = SIZE.unpack_from(buffer)
-    return SIZE.size + int(length)
+def next_frame(buffer: memoryview) -> tuple[Frame, int] | None:
+    """The first frame of the buffer and its size on the wire; None while it is incomplete."""
+    header = decode_header(buffer)
+    if header is None or len(buffer) < header.size:
+        return None
+    return Frame(header.kind, header.stream, buffer[HEAD.size : header.size]), header.size
 
 
 def decode_fields(payload: memoryview) -> tuple[dict[str, str], memoryview]:
--- a/tests/run/test_change_log_sources.py
+++ b/tests/run/test_change_log_sources.py
@@ -30,10 +30,11 @@
 from hallproxy.feed import source_selection
 from hallproxy.feed.source_selection import SourceSelection, rendezvous_order
 from hallproxy.run import change_log_follower, change_log_poller, change_logs
+from hallproxy.run.change_log_follower import MAX_PAGE_BYTES
 from hallproxy.run.change_log_poller import Poller
 from hallproxy.run.config import ConfigError, address
 from hallproxy.run.effect_runner import EffectRunner
-from hallproxy.run.poll_connection import MAX_PAGE_BYTES, PollConnection
+from hallproxy.run.poll_connection import PollConnection
 from hallproxy.state.endpoints import EndpointList
 from hallproxy.state.events import EndpointListUpdated, Event, PurgeNotified, WatchCaughtUp
 from hallproxy.state.local_cache import CacheKey, LocalCache, LocalCacheEntry
--- /dev/null
+++ b/tests/run/test_memory.py
@@ -0,0 +1,251 @@
+"""Guards against buffers without a limit in bytes, which take the gateway over its memory."""
+
+from __future__ import annotations
+
+import json
+import socket
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+
+import pytest
+
+from hallproxy.decisions import Router
+from hallproxy.run import limits
+from hallproxy.run.config import Config, load
+from hallproxy.run.downstream_connections import (
+    MEMORY_WAIT_SHARE,
+    SMALL_REQUEST_BYTES,
+    DownstreamConnections,
+)
+from hallproxy.run.effect_runner import EffectRunner
+from hallproxy.run.limits import derive_limits
+from hallproxy.state.model import GatewayState
+from hallproxy.state.units import MB
+from hallproxy.wire import frames
+from tests.support.gateway import Client, Platform, ReceivedRequest, platform_settings, response, until
+
+SERVED, REFUSED, FAILED = frames.SERVED, frames.REJECTED, frames.FAILED
+WRITE_BYTES = 48_000  # the most that one write carries
+PART_BYTES = 240_000  # the most that one part has
+REQUESTS_PER_CONNECTION = 32  # the most that one connection may have open
+DEADLINE = 3.0  # s; the shortest of the stand-in settings
+LATE = 0.5  # s after its time at which a request counts as lost
+QUIET_INTERVAL = 0.05  # s from one request of the quiet client to the next
+
+
+def anonymous_memory(pid: int) -> int:
+    """Bytes of the process's own pages; 0 once it has ended."""
+    try:
+        status = Path(f"/proc/{pid}/status").read_text()
+    except OSError:
+        return 0
+    return next((int(x.split()[1]) * 1024 for x in status.splitlines() if x.startswith("RssAnon")), 0)
+
+
+@contextmanager
+def memory_watched(platform: Platform) -> Iterator[list[int]]:
+    """The highest memory in bytes, as the one element of a list."""
+    peak, ended = [0], threading.Event()
+
+    def watch() -> None:
+        while not ended.wait(0.005):
+            peak[0] = max(peak[0], anonymous_memory(platform.program.process.pid))
+
+    thread = threading.Thread(target=watch)
+    thread.start()
+    yield peak
+    ended.set()
+    thread.join()
+
+
+class QuietClient:
+    """Sends one small request after another, and notes each response and how long it took."""
+
+    def __init__(self, platform: Platform) -> None:
+        self.responses: list[tuple[int, float]] = []
+        self._client = platform.client()
+        self._ended = threading.Event()
+        self._thread = threading.Thread(target=self._run)
+        self._thread.start()
+
+    def _run(self) -> None:
+        row = 10_000
+        while not self._ended.wait(QUIET_INTERVAL):
+            row += 1
+            began_at = time.monotonic()
+            self._client.send_request(op="small", row=row, ttl="3000")
+            code, _, _ = self._client.read_response()
+            self.responses.append((code, time.monotonic() - began_at))
+
+    def stop(self) -> None:
+        self._ended.set()
+        self._thread.join()
+
+
+def encode_writes(client: Client, count: int) -> bytes:
+    encoded = []
+    for stream in range(1, count + 1):
+        call = f"{client.base + stream:016x}"
+        fields = {"op": "close", "call": call, "ttl": "3000", "row": f"{1:016x}", "nth": "0", "batch": "1",
+                  "heap": "40", "dedupe": call * 2}  # fmt: skip
+        payload = frames.encode_fields(fields) + bytes(WRITE_BYTES)
+        encoded += frames.encode_frame(frames.REQUEST, stream, payload)
+    return b"".join(encoded)
+
+
+def send_writes(platform: Platform, connections: int) -> tuple[Counter[int], float]:
+    """Send the most writes on each connection; returns the codes of the responses, and the longest time."""
+    codes: Counter[int] = Counter()
+    clients = [platform.client() for _ in range(connections)]
+    began_at = time.monotonic()
+
+    def receive(client: Client) -> None:
+        for _ in range(REQUESTS_PER_CONNECTION):
+            codes[client.read_response()[0]] += 1
+
+    threads = []
+    for client in clients:
+        data = encode_writes(client, REQUESTS_PER_CONNECTION)
+        threads += [threading.Thread(target=client.sock.sendall, args=(data,))]
+        threads += [threading.Thread(target=receive, args=(client,))]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return codes, time.monotonic() - began_at
+
+
+def slow_reply(request: ReceivedRequest) -> bytes:
+    time.sleep(0.05)
+    return response(200, b"bytes", ETag="t", X_Born_Ms="1")
+
+
+@pytest.mark.parametrize("memory_mb", [32, 48, 80])
+def test_a_burst_of_large_writes_stays_within_the_memory_and_each_is_answered(
+    start_platform: Callable[..., Platform], memory_mb: int
+) -> None:
+    platform = start_platform(limits={"memory_mb": memory_mb, "sockets": 512})
+    platform.set_reply(slow_reply)
+    connections = 2 * memory_mb  # whose writes are three times the memory
+    quiet = QuietClient(platform)
+    with memory_watched(platform) as peak:
+        codes, duration = send_writes(platform, connections)
+    quiet.stop()
+    assert peak[0] < memory_mb * MB
+    assert codes.total() == connections * REQUESTS_PER_CONNECTION and codes[FAILED] == 0 < codes[SERVED]
+    assert duration < DEADLINE + LATE
+    assert quiet.responses and all(code == SERVED for code, _ in quiet.responses)
+
+
+def test_writes_that_wait_for_memory_are_rejected_while_the_stores_hang(
+    start_platform: Callable[..., Platform],
+) -> None:
+    platform = start_platform(limits={"memory_mb": 32, "sockets": 512})
+    platform.set_reply(lambda _: None)
+    with memory_watched(platform) as peak:
+        codes, duration = send_writes(platform, 64)
+    assert peak[0] < 32 * MB
+    assert codes.total() == 64 * REQUESTS_PER_CONNECTION and codes[REFUSED]
+    assert duration < DEADLINE + LATE
+
+
+def test_small_requests_are_served_while_large_ones_fill_the_memory(
+    start_platform: Callable[..., Platform],
+) -> None:
+    # Frames that never end hold all the memory that large requests may use, until they time out.
+    platform = start_platform(limits={"memory_mb": 32, "sockets": 512})
+    holders = []
+    with memory_watched(platform) as peak:
+        for _ in range(150):
+            client = platform.client()
+            client.sock.sendall(encode_writes(client, 1)[:-1])
+            holders.append(client)
+        quiet = QuietClient(platform)
+        time.sleep(MEMORY_WAIT_SHARE * DEADLINE + 1)
+        quiet.stop()
+    assert peak[0] < 32 * MB
+    assert quiet.responses and all(code == SERVED for code, _ in quiet.responses)
+
+
+def test_large_parts_to_clients_that_do_not_read_stay_within_the_memory(
+    start_platform: Callable[..., Platform],
+) -> None:
+    platform = start_platform(limits={"memory_mb": 48, "sockets": 512})
+    platform.set_reply(lambda _: response(200, bytes(PART_BYTES), ETag="t", X_Born_Ms="1"))
+    slow = [Client(platform.program.port) for _ in range(100)]
+    with memory_watched(platform) as peak:
+        for number, client in enumerate(slow):
+            client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            for nth in range(20):
+                client.send_request(row=number, nth=nth, ttl="3000")
+        quiet = QuietClient(platform)
+        time.sleep(DEADLINE + LATE)
+        quiet.stop()
+    assert peak[0] < 48 * MB
+    assert quiet.responses and all(code == SERVED for code, _ in quiet.responses)
+
+
+@dataclass(eq=False)
+class UnreadConnection:
+    unsent_bytes: int
+    unsent_since: float
+
+    def close(self) -> None:
+        self.unsent_bytes = 0
+
+
+def test_the_connection_that_has_not_read_for_longest_is_closed_first(tmp_path: Path) -> None:
+    # Guards against a client that reads losing its connection to the memory that others leave unread.
+    config = make_config(tmp_path, 80, 512)
+    state = GatewayState(config.settings, Router(config.settings, 1), derive_limits(config))
+    owner = DownstreamConnections(EffectRunner(state))
+    size = state.limits.unsent_bytes // 2
+    old, reading, new = (UnreadConnection(size, since) for since in (1.0, 3.0, 2.0))
+    idle = UnreadConnection(0, 0.0)
+    owner.connections = {old, reading, new, idle}  # type: ignore[arg-type]
+    owner.shed_unsent()
+    assert [c.unsent_bytes for c in (old, reading, new)] == [0, size, size]
+    assert not owner.has_room_for(size) and owner.has_room_for(0)
+
+
+def test_a_page_that_would_not_fit_into_the_memory_is_rejected(
+    start_platform: Callable[..., Platform],
+) -> None:
+    platform = start_platform(limits={"memory_mb": 32, "sockets": 512})
+    with memory_watched(platform) as peak:
+        platform.log.events.append({"seq": 2, "padding": [{"a": n} for n in range(1_000_000)]})
+        platform.log.add(invalidate={"bucket": 1, "time": 1})
+        until(lambda: any("exceeds the limit" in line for line in platform.program.lines))
+    assert peak[0] < 32 * MB
+
+
+def make_config(tmp_path: Path, memory_mb: int, sockets: int) -> Config:
+    limits = {"memory_mb": memory_mb, "sockets": sockets}
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps({"listen": "127.0.0.1:1", "limits": limits, "settings": platform_settings()}))
+    return load({"EDGE_CONFIG": str(path)})
+
+
+@pytest.mark.parametrize("memory_mb", [28, 32, 48, 80, 192, 512, 2048])
+@pytest.mark.parametrize("sockets", [256, 1024])
+def test_the_parts_of_the_memory_are_no_more_than_the_whole(
+    tmp_path: Path, memory_mb: int, sockets: int
+) -> None:
+    bounds = derive_limits(make_config(tmp_path, memory_mb, sockets))
+    parts = [
+        limits.BASE_MEMORY,
+        bounds.local_cache_bytes,
+        bounds.body_bytes,
+        bounds.unsent_bytes,
+        bounds.request_bytes,
+        bounds.requests * limits.REQUEST_MEMORY,
+        bounds.connections * limits.CONNECTION_MEMORY,
+        bounds.page_bytes * limits.PAGE_MEMORY_FACTOR,
+    ]
+    assert sum(parts) <= memory_mb * MB
+    assert min(parts) > SMALL_REQUEST_BYTES
