Count a connection whose request waits for memory as busy

What callers could see: at a shutdown, or where a descriptor is needed, a connection whose only request waits for memory, all of it received and none decoded, looked idle and could be closed with no answer. The new test passes without the change too, as requests are refused within 0.75 s and the shutdown begins to end connections after 0.8 s; it guards the order of the two.

--- a/hallproxy/run/downstream_connection.py
+++ b/hallproxy/run/downstream_connection.py
@@ -372,7 +372,18 @@
     @property
     def is_idle(self) -> bool:
         """Whether nothing is in flight, unsent or unread."""
-        return not (self.in_flight or self.queued or self._stream.unsent_bytes or self._stream.is_stale())
+        return not (
+            self.in_flight
+            or self.queued
+            or self._stream.unsent_bytes
+            or self._reader.needs_memory
+            or self._stream.is_stale()
+        )
+
+    @property
+    def needs_memory(self) -> bool:
+        """Whether a request waits for memory, not read or not decoded."""
+        return self._reader.needs_memory
 
     @property
     def unsent_bytes(self) -> int:
--- a/tests/run/test_memory.py
+++ b/tests/run/test_memory.py
@@ -249,3 +249,22 @@
     ]
     assert sum(parts) <= memory_mb * MB
     assert min(parts) > SMALL_REQUEST_BYTES
+
+
+def test_a_request_that_waits_for_memory_is_answered_at_the_shutdown(
+    start_platform: Callable[..., Platform],
+) -> None:
+    # Guards against a connection that counts as idle, and is closed, while its request waits undecoded.
+    platform = start_platform(limits={"memory_mb": 32, "sockets": 512})
+    platform.set_reply(lambda _: None)
+    holders = [platform.client() for _ in range(100)]
+    for client in holders:
+        client.sock.sendall(encode_writes(client, 1))
+    waiting = platform.client()
+    waiting.send_request(op="small", row=7, ttl="3000", body=bytes(SMALL_REQUEST_BYTES + 100))
+    time.sleep(0.2)
+    platform.program.process.terminate()
+    received = []
+    while (frame := waiting.read_frame()) is not None:
+        received.append(frame[0])
+    assert received.count(frames.RESPONSE) == 1
