Read on where a frame needs no memory; a drained connection waits afresh

Change: cancels and readiness requests are handled without a reservation, as they free memory or have no payload; a longer one than is read ahead is an error, as the protocol gives them none. Once all that arrived is read, later requests no longer count as having waited.

--- a/hallproxy/run/frame_reader.py
+++ b/hallproxy/run/frame_reader.py
@@ -81,8 +81,8 @@
         """Read without waiting; returns the same as ``Stream.read_available``."""
         limit = min(MAX_READ_BYTES, self.missing) if self.missing else READ_AHEAD_BYTES
         size = self._buffer.fill_available(self._stream, limit)
-        if size is None and not self._buffer.filled and self._drop is None:
-            self._waiting_since = None
+        if size is None:
+            self._waiting_since = None  # what is still to come arrives later
         return size
 
     def next_frame(self) -> ReceivedFrame | RejectedFrame | None:
@@ -96,7 +96,7 @@
             if header is None:
                 self.missing = frames.HEAD.size - len(view) if len(view) else 0
                 return None
-            if not self._reserve(header.size):
+            if not self._may_hold(header):
                 if self._wait_left() > 0:
                     self._needed = header.size
                     return None
@@ -105,11 +105,17 @@
                 return None
             else:
                 return self._complete(header, bytes(view[frames.HEAD.size : header.size]))
-        if header.kind != frames.REQUEST:
-            raise frames.FrameError(f"a frame of type {header.kind} and {header.size} bytes")
         self._drop = _Drop(header.stream, header.size)
         return self._drop_available(self._drop)
 
+    def _may_hold(self, header: frames.FrameHeader) -> bool:
+        """Whether the frame has its memory; frames other than requests have no payload and need none."""
+        if header.kind == frames.REQUEST:
+            return self._reserve(header.size)
+        if header.size > READ_AHEAD_BYTES:
+            raise frames.FrameError(f"a frame of type {header.kind} and {header.size} bytes")
+        return True
+
     def _reserve(self, size: int) -> bool:
         if not self._reserved and self._budget.try_acquire(size):
             self._reserved = size
--- /dev/null
+++ b/tests/run/test_frame_reader.py
@@ -0,0 +1,114 @@
+"""A client's frames within a budget of bytes, on a stand-in stream."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import cast
+
+import pytest
+
+from hallproxy.run.byte_budget import ByteBudget
+from hallproxy.run.frame_reader import READ_AHEAD_BYTES, FrameReader, ReceivedFrame, RejectedFrame
+from hallproxy.run.sockets import Stream
+from hallproxy.wire import frames
+
+LIMIT = 60_000  # bytes of the budget
+
+
+class ReceivedBytes:
+    """A stream that has received ``data``."""
+
+    def __init__(self, data: bytes) -> None:
+        self.data = data
+
+    async def read_some(self, into: memoryview, _timeout: float | None = None) -> int:
+        while not self.data:
+            await asyncio.sleep(0.001)
+        return self.read_available(into) or 0
+
+    def read_available(self, into: memoryview) -> int | None:
+        size = min(len(into), len(self.data))
+        into[:size] = self.data[:size]
+        self.data = self.data[size:]
+        return size or None
+
+
+def encode(kind: int, stream: int, size: int) -> bytes:
+    return b"".join(frames.encode_frame(kind, stream, bytes([stream]) * size))
+
+
+async def read(reader: FrameReader) -> list[ReceivedFrame | RejectedFrame]:
+    """The frames that are complete and have their memory."""
+    received = []
+    while True:
+        while (frame := reader.next_frame()) is not None:
+            received.append(frame)
+        reader.discard_decoded()
+        if reader.needs_memory or reader.read_available() is None:
+            return received
+
+
+def start(budget: ByteBudget, *encoded: bytes, max_wait: float = 5.0) -> tuple[FrameReader, ReceivedBytes]:
+    stream = ReceivedBytes(b"".join(encoded))
+    return FrameReader(cast(Stream, stream), budget, lambda: max_wait), stream
+
+
+def test_a_frame_without_memory_stays_unread_until_there_is_some() -> None:
+    async def run() -> None:
+        budget = ByteBudget(lambda: LIMIT)
+        reader, stream = start(budget, encode(65, 1, 40_000), encode(65, 2, 40_000), encode(65, 3, 100))
+        (first,) = await read(reader)
+        assert isinstance(first, ReceivedFrame) and first.payload == bytes([1]) * 40_000
+        assert reader.needs_memory and len(stream.data) > 40_000 - READ_AHEAD_BYTES
+        asyncio.get_running_loop().call_later(0.05, budget.release, first.reserved)
+        await reader.wait()
+        second, third = await read(reader)
+        assert isinstance(second, ReceivedFrame) and second.payload == bytes([2]) * 40_000
+        assert isinstance(third, ReceivedFrame) and third.stream == 3 and second.waited >= 0.04
+        for frame in (second, third):
+            budget.release(frame.reserved)
+        stream.data = encode(65, 4, 100)
+        (later,) = await read(reader)
+        assert isinstance(later, ReceivedFrame) and later.waited == 0
+
+    asyncio.run(run())
+
+
+def test_frames_that_wait_too_long_are_dropped_and_the_next_ones_read() -> None:
+    async def run() -> None:
+        budget = ByteBudget(lambda: LIMIT)
+        assert budget.try_acquire(LIMIT)
+        frames_sent = [encode(65, n, 20_000) for n in (1, 2, 3)]
+        reader, _ = start(budget, *frames_sent, max_wait=0.05)
+        assert await read(reader) == []
+        await reader.wait()
+        assert await read(reader) == [RejectedFrame(1), RejectedFrame(2), RejectedFrame(3)]
+        assert not reader.needs_memory and reader.missing == 0
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("kind", [frames.CANCEL, frames.READINESS_REQUEST])
+def test_frames_without_a_request_need_no_memory(kind: int) -> None:
+    async def run() -> None:
+        budget = ByteBudget(lambda: LIMIT)
+        assert budget.try_acquire(LIMIT)
+        reader, _ = start(budget, encode(kind, 1, 0), encode(kind, 2, 1))
+        assert [frame.stream for frame in await read(reader)] == [1, 2]
+        reader, _ = start(budget, encode(kind, 1, READ_AHEAD_BYTES))
+        with pytest.raises(frames.FrameError):
+            await read(reader)
+
+    asyncio.run(run())
+
+
+def test_the_memory_of_an_incomplete_frame_is_released_at_the_end() -> None:
+    async def run() -> None:
+        budget = ByteBudget(lambda: LIMIT)
+        reader, _ = start(budget, encode(65, 1, 40_000)[:-1])
+        assert await read(reader) == [] and reader.missing == 1
+        assert not budget.try_acquire(40_000)
+        reader.close()
+        assert budget.try_acquire(LIMIT)
+
+    asyncio.run(run())
