Test of a page beyond the memory: a stand-in that encodes it in time

Trace: the stand-in log encodes its page of a million objects anew for each poll, 1.4 s beside that load, and a poll is given up 0.25 s after its wait, so the gateway never saw the page's head.

--- a/tests/run/test_memory.py
+++ b/tests/run/test_memory.py
@@ -218,7 +218,8 @@
 ) -> None:
     platform = start_platform(limits={"memory_mb": 32, "sockets": 512})
     with memory_watched(platform) as peak:
-        platform.log.events.append({"seq": 2, "padding": [{"a": n} for n in range(1_000_000)]})
+        # One string, as the stand-in encodes it anew for each poll and has to answer within 0.25 s.
+        platform.log.events.append({"seq": 2, "padding": "x" * 14 * MB})
         platform.log.add(invalidate={"bucket": 1, "time": 1})
         until(lambda: any("exceeds the limit" in line for line in platform.program.lines))
     assert peak[0] < 32 * MB
