Survive numbers and nesting that Python refuses in heads and pages

What callers saw: an upstream's Age of over 4,300 digits or of superscript digits, or a deeply nested JSON index, ended the connection's task with a traceback; the request was tried elsewhere or got 502. Cause: int() after str.isdigit(), and json.loads raising RecursionError, which is no ValueError. Evidence: red before: test_an_index_with_an_invalid_age_is_served (2 of 4 cases), test_a_deeply_nested_index_counts_as_an_error_of_its_upstream, test_a_malformed_page (nested). Fix: delta-seconds by RFC 9111, 1.2.2, in wire/http1.py; RecursionError counts as a malformed page. Measured: tests/wire and tests/repository/test_simple.py pass, the named tests pass.

--- a/hallproxy/repository/simple.py
+++ b/hallproxy/repository/simple.py
@@ -29,7 +29,7 @@
 from hallproxy.repository import codings
 from hallproxy.state.effects import UpstreamRequest
 from hallproxy.state.events import AttemptResult, FailureReason
-from hallproxy.wire.http1 import Head
+from hallproxy.wire.http1 import Head, decode_delta_seconds
 
 SECOND = 1_000_000_000  # ns
 JSON = "application/vnd.pypi.simple.v1+json"
@@ -205,7 +205,7 @@
         if media.split(";")[0].strip().lower() in (JSON, "application/json"):
             return _from_json(_load_json(body), project, prefix + path, set(hosts))
         return _from_html(_parse_links(body), project, prefix + path, set(hosts))
-    except (ValueError, KeyError, TypeError, AttributeError, etree.LxmlError) as error:
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError, etree.LxmlError) as error:
         raise BadIndex(f"upstream index can't be decoded: {type(error).__name__} {error}") from None
 
 
@@ -637,8 +637,8 @@
         if head.status != 200 and not (head.status == 304 and request.validator):
             return AttemptResult(i.AttemptStatus.ERROR, reason=FailureReason.ERROR)
         # Generated after the request was sent, unless an intermediate cache declares the age of its copy.
-        age = head.fields.get("age", "0")
-        generated_at = sent_at - (int(age) + 1) * SECOND if age.isdigit() and int(age) else sent_at
+        age = decode_delta_seconds(head.fields.get("age", ""))
+        generated_at = sent_at - (age + 1) * SECOND if age else sent_at
         if head.status == 304:
             return AttemptResult(i.AttemptStatus.OK, generated_at=generated_at, revalidated=True)
         if request.digest:
--- a/hallproxy/wire/changelog.py
+++ b/hallproxy/wire/changelog.py
@@ -61,7 +61,7 @@
     """The page in a response's body, its entries not yet decoded."""
     try:
         page = json.loads(raw)
-    except ValueError:
+    except (ValueError, RecursionError):  # the latter for deeply nested arrays
         raise ChangeLogError("page is not JSON") from None
     if not isinstance(page, dict):
         raise ChangeLogError("page is not a JSON object")
--- a/hallproxy/wire/http1.py
+++ b/hallproxy/wire/http1.py
@@ -8,6 +8,7 @@
 
 MAX_HEAD_BYTES = 16_384
 MAX_BODY_BYTES = 64 * 1024 * 1024
+MAX_DELTA_SECONDS = 2**31  # s; in place of any larger number
 _STATUS = re.compile(rb"HTTP/1\.([01]) (\d{3})(?: [^\r\n]*)?\r\n")
 _REQUEST = re.compile(rb"([A-Z]{1,16}) ([!-~]{1,8192}) HTTP/1\.([01])\r\n")
 # Each part ends at a byte that it can't contain, so that a malformed line is rejected without backtracking.
@@ -58,6 +59,16 @@
         return int(text)
 
 
+def decode_delta_seconds(text: str) -> int | None:
+    """A number of seconds, at most ``MAX_DELTA_SECONDS``, as RFC 9111, 1.2.2 has it; None if it is none."""
+    if not (text.isascii() and text.isdigit()):
+        return None
+    digits = text.lstrip("0")
+    if len(digits) > len(str(MAX_DELTA_SECONDS)):
+        return MAX_DELTA_SECONDS
+    return min(int(digits or "0"), MAX_DELTA_SECONDS)
+
+
 def decode_response_head(buffer: bytearray, filled: int, searched: int = 0) -> Head | None:
     """The response head that the buffer's first ``filled`` bytes begin with; None while it is incomplete.
 
--- a/tests/repository/test_repository.py
+++ b/tests/repository/test_repository.py
@@ -464,3 +464,30 @@
     seq = new.add(invalidate={"object": f"{simple.object_id(PROJECT):016x}", "time": purged + 1})
     until(lambda: new.acknowledged(seq))
     assert list(front.file_urls()) == ["other-1.0.tar.gz"]
+
+
+REJECTED_AGES = {"long": "9" * 5_000, "other digits": "\u00b2", "negative": "-1", "two": "1 2"}
+NESTED_JSON = b'{"files":' + b"[" * 100_000
+
+
+@pytest.mark.parametrize("age", REJECTED_AGES.values(), ids=REJECTED_AGES)
+def test_an_index_with_an_invalid_age_is_served(front: Front, age: str) -> None:
+    # Guards against a header that ends the reading of the upstream's connection with a traceback.
+    upstream = front.upstreams[0]
+
+    def reply_with_age(request: ReceivedRequest) -> bytes:
+        upstream.hook = None
+        reply = upstream._reply(request)
+        assert reply is not None
+        return reply.replace(b"\r\n", f"\r\nAge: {age}\r\n".encode("latin-1"), 1)
+
+    front.start()
+    upstream.hook = reply_with_age
+    assert front.get(f"/simple/{PROJECT}/", Accept=simple.JSON).status == 200
+
+
+def test_a_deeply_nested_index_counts_as_an_error_of_its_upstream(front: Front) -> None:
+    # Guards against nested JSON that ends the reading of the upstream's connection with a traceback.
+    front.upstreams[0].hook = lambda _: response(200, NESTED_JSON, Content_Type=simple.JSON)
+    front.start()
+    assert front.get(f"/simple/{PROJECT}/", Accept=simple.JSON).status == 502
--- a/tests/wire/test_changelog.py
+++ b/tests/wire/test_changelog.py
@@ -20,6 +20,7 @@
     [
         "[]",
         "{",
+        pytest.param('{"results":' + "[" * 100_000, id="deeply nested"),
         '{"seq":1}',
         '{"results":[{"seq":3,"invalidate":{"object":"1","time":1}}]}',
         '{"results":[{"seq":1,"invalidate":{"object":"xyz","time":1}}]}',
--- a/tests/wire/test_http1.py
+++ b/tests/wire/test_http1.py
@@ -44,3 +44,12 @@
             http1.decode_chunk_size(line)
     else:
         assert http1.decode_chunk_size(line) == size
+
+
+@pytest.mark.parametrize(
+    ("text", "seconds"),
+    [("0", 0), ("007", 7), ("2147483648", 1 << 31), ("2147483649", 1 << 31), ("9" * 5_000, 1 << 31)]
+    + [(text, None) for text in ("", "-1", "+1", "1.5", "1 2", "\u00b2", "\u0661")],
+)
+def test_delta_seconds(text: str, seconds: int | None) -> None:
+    assert http1.decode_delta_seconds(text) == seconds
