Count the memory of the local cache's entries, not their bodies alone

What callers saw: nothing yet; objects of a few bytes could take the gateway over memory_mb. Cause: the cache's limit counted bodies; an entry, its key and its places in the tables take 540 to 1,093 bytes (measured with tracemalloc, 500 to 100,000 entries), and its texts as much as a head allows.

--- a/hallproxy/lab/capacity/control_rows.py
+++ b/hallproxy/lab/capacity/control_rows.py
@@ -14,6 +14,7 @@
     num,
 )
 from hallproxy.lab.capacity.size import SIZE, Size
+from hallproxy.state.local_cache import ENTRY_BYTES
 from hallproxy.state.purges import MAX_PURGES
 
 
@@ -72,10 +73,10 @@
 
 
 def _own_copies(size: Size, core: Slope) -> Computed:
-    copies = program.BOUNDS.local_cache_bytes / SMALL_COPY_BYTES
+    copies = program.BOUNDS.local_cache_bytes / (SMALL_COPY_BYTES + ENTRY_BYTES)
     text = (
-        f"{num(program.BOUNDS.local_cache_bytes / 1e6)} MB ÷ {num(SMALL_COPY_BYTES / 1e3)} KB "
-        f"= {num(copies)} copies"
+        f"{num(program.BOUNDS.local_cache_bytes / 1e6)} MB ÷ ({num(SMALL_COPY_BYTES / 1e3)} + "
+        f"{num(ENTRY_BYTES / 1e3)}) KB = {num(copies)} copies"
     )
     return Computed(core.cores(copies), text)
 
--- a/hallproxy/state/limits.py
+++ b/hallproxy/state/limits.py
@@ -22,7 +22,7 @@
         request_bytes: bytes of clients' requests, from their receipt to their response.
         page_bytes: bytes of a page of the change log.
         idle_timeout: ns after which an idle connection to an endpoint is closed.
-        local_cache_bytes: bytes of bodies in the local cache; 0: there is none.
+        local_cache_bytes: bytes of the local cache, entries and bodies; 0: there is none.
         negative_ttl: ns for which "not found" is cached; 0: never.
         transfer_bytes_s: bytes per second of one transfer from the local cache; 0: unknown.
         uplink_bytes_s: bytes per second of all such transfers together; 0: unknown.
--- a/hallproxy/state/local_cache.py
+++ b/hallproxy/state/local_cache.py
@@ -8,6 +8,8 @@
 
 from hallproxy.state.units import SECOND
 
+ENTRY_BYTES = 1_152  # of memory for an entry and its places in the tables and indexes, without its texts
+
 
 class CacheKey(NamedTuple):
     """Identifies a cached body: one part of an object, as one request class reads it."""
@@ -32,6 +34,11 @@
     rank: int
     validator: str = ""
 
+    @property
+    def size(self) -> int:
+        """Bytes of memory that the entry takes."""
+        return len(self.body) + len(self.etag) + len(self.validator) + ENTRY_BYTES
+
 
 @dataclass(slots=True)
 class Uplink:
@@ -62,12 +69,11 @@
 class LocalCache:
     """Entries by rank, in the order of their use, with an index of their keys by object and by group.
 
-    The index lets a purge visit only matching entries. It contains exactly the entries' keys; its memory is
-    not counted in ``cached_bytes``.
+    The index lets a purge visit only matching entries. It contains exactly the entries' keys.
 
     Attributes:
         max_bytes: limit of ``cached_bytes``; 0: nothing is cached.
-        cached_bytes: bytes of all bodies.
+        cached_bytes: bytes of memory that all entries take.
         bytes_by_rank: the same by rank, lowest first; kept because summing at each admission is too slow.
         ranks: the entries by rank, lowest first, least recently used first.
     """
@@ -84,7 +90,7 @@
     def put(self, key: CacheKey, entry: LocalCacheEntry) -> None:
         """Cache the entry if it fits after evicting entries of no higher rank."""
         self.drop(key)
-        size = len(entry.body)
+        size = entry.size
         if size > self.max_bytes or not 1 <= entry.rank <= len(self.ranks):
             return
         free = self.max_bytes - self.cached_bytes
@@ -131,10 +137,10 @@
         """Remove the rank's least recently used entry; return its size in bytes."""
         key, entry = self.ranks[rank_index].popitem(last=False)
         self._removed(rank_index, key, entry)
-        return len(entry.body)
+        return entry.size
 
     def _removed(self, rank_index: int, key: CacheKey, entry: LocalCacheEntry) -> None:
-        self._count(rank_index, -len(entry.body))
+        self._count(rank_index, -entry.size)
         _remove_from_index(self._by_object, key.object, key)
         _remove_from_index(self._by_group, entry.group, key)
 
