Let a stalled client's requests wait for memory once, not once a refill

Cause: the reader forgot since when it lacked memory as soon as the socket was empty; a stalled client is still sending then, in the middle of a frame, and each refill waited another quarter of the deadline. The two stand-ins of received bytes are one.

--- a/hallproxy/run/downstream_connection.py
+++ b/hallproxy/run/downstream_connection.py
@@ -118,7 +118,7 @@
         self.ending = False
         self.write_closed = False
         self._clock = asyncio.get_running_loop().time
-        self._reader = FrameReader(stream, owner.request_budget, owner.max_memory_wait)
+        self._reader = FrameReader(stream, owner.request_budget, owner.max_memory_wait, MAX_IN_FLIGHT)
         self.idle_since = self._clock()
         self.unsent_since = self._clock()  # since when the client has not read all; valid with unsent bytes
         self._invalid_requests = 0
--- a/hallproxy/run/frame_reader.py
+++ b/hallproxy/run/frame_reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -45,18 +46,26 @@
 
     Without free bytes the reader waits and the rest stays unread, which stalls the client. Frames that would
     have to wait longer than ``max_wait`` (s) in all are dropped as they arrive, so that each is answered.
+
+    A client that was stalled may still be sending when the socket is empty, with its next requests behind the
+    frame that has begun. They have waited as long, until all is read. ``max_open``: requests that a client
+    may have unanswered, so that it has sent the next one later than the first of them was read.
     """
 
-    def __init__(self, stream: Stream, budget: ByteBudget, max_wait: Callable[[], float]) -> None:
+    def __init__(
+        self, stream: Stream, budget: ByteBudget, max_wait: Callable[[], float], max_open: int
+    ) -> None:
         self._stream = stream
         self._budget = budget
         self._max_wait = max_wait
+        self._max_open = max_open
         self._clock = asyncio.get_running_loop().time
         self._buffer = Buffer(BUFFER_SIZE)
         self._offset = 0  # bytes of the buffer that are decoded
         self._reserved = 0  # bytes, for the frame at the offset
         self._drop: _Drop | None = None
         self._waiting_since: float | None = None  # None: nothing that had to wait is still unread
+        self._read_at: deque[float] = deque()  # of the last requests since then, at most ``max_open``
         self._needed = 0  # bytes that the frame at the offset waits for
         self.missing = 0  # bytes of the frame that has begun
 
@@ -81,8 +90,9 @@
         """Read without waiting; returns the same as ``Stream.read_available``."""
         limit = min(MAX_READ_BYTES, self.missing) if self.missing else READ_AHEAD_BYTES
         size = self._buffer.fill_available(self._stream, limit)
-        if size is None:
+        if size is None and not self.missing:
             self._waiting_since = None  # what is still to come arrives later
+            self._read_at.clear()
         return size
 
     def next_frame(self) -> ReceivedFrame | RejectedFrame | None:
@@ -131,8 +141,18 @@
         self._offset += header.size
         reserved, self._reserved = self._reserved, 0
         waited = 0.0 if self._waiting_since is None else self._clock() - self._waiting_since
+        if header.kind == frames.REQUEST:
+            self._count_request()
         return ReceivedFrame(header.kind, header.stream, payload, reserved, waited)
 
+    def _count_request(self) -> None:
+        """Note that a request has been read while others waited, which limits how long those have waited."""
+        if self._waiting_since is None:
+            return
+        self._read_at.append(self._clock())
+        if len(self._read_at) == self._max_open:
+            self._waiting_since = max(self._waiting_since, self._read_at.popleft())
+
     def _drop_available(self, drop: _Drop) -> RejectedFrame | None:
         size = min(drop.remaining, self._buffer.filled - self._offset)
         self._offset += size
@@ -141,6 +161,7 @@
         if drop.remaining:
             return None
         self._drop = None
+        self._count_request()
         return RejectedFrame(drop.stream)
 
     def discard_decoded(self) -> int:
--- a/tests/run/test_frame_reader.py
+++ b/tests/run/test_frame_reader.py
@@ -11,26 +11,11 @@
 from hallproxy.run.frame_reader import READ_AHEAD_BYTES, FrameReader, ReceivedFrame, RejectedFrame
 from hallproxy.run.sockets import Stream
 from hallproxy.wire import frames
+from tests.support.received_bytes import ReceivedBytes
 
 LIMIT = 60_000  # bytes of the budget
-
-
-class ReceivedBytes:
-    """A stream that has received ``data``."""
-
-    def __init__(self, data: bytes) -> None:
-        self.data = data
-
-    async def read_some(self, into: memoryview, _timeout: float | None = None) -> int:
-        while not self.data:
-            await asyncio.sleep(0.001)
-        return self.read_available(into) or 0
-
-    def read_available(self, into: memoryview) -> int | None:
-        size = min(len(into), len(self.data))
-        into[:size] = self.data[:size]
-        self.data = self.data[size:]
-        return size or None
+MAX_WAIT = 0.05  # s for memory, where a test waits for its end
+MAX_OPEN = 6  # requests that a client may have unanswered
 
 
 def encode(kind: int, stream: int, size: int) -> bytes:
@@ -50,7 +35,17 @@
 
 def start(budget: ByteBudget, *encoded: bytes, max_wait: float = 5.0) -> tuple[FrameReader, ReceivedBytes]:
     stream = ReceivedBytes(b"".join(encoded))
-    return FrameReader(cast(Stream, stream), budget, lambda: max_wait), stream
+    return FrameReader(cast(Stream, stream), budget, lambda: max_wait, MAX_OPEN), stream
+
+
+async def start_stalled() -> tuple[ByteBudget, FrameReader, ReceivedBytes]:
+    """A reader of one frame that has waited as long as it may for memory that others hold."""
+    budget = ByteBudget(lambda: LIMIT)
+    assert budget.try_acquire(LIMIT)
+    reader, stream = start(budget, encode(65, 1, 20_000), max_wait=MAX_WAIT)
+    assert await read(reader) == []
+    await reader.wait()
+    return budget, reader, stream
 
 
 def test_a_frame_without_memory_stays_unread_until_there_is_some() -> None:
@@ -59,7 +54,7 @@
         reader, stream = start(budget, encode(65, 1, 40_000), encode(65, 2, 40_000), encode(65, 3, 100))
         (first,) = await read(reader)
         assert isinstance(first, ReceivedFrame) and first.payload == bytes([1]) * 40_000
-        assert reader.needs_memory and len(stream.data) > 40_000 - READ_AHEAD_BYTES
+        assert reader.needs_memory and stream.unread_bytes > 40_000 - READ_AHEAD_BYTES
         asyncio.get_running_loop().call_later(0.05, budget.release, first.reserved)
         await reader.wait()
         second, third = await read(reader)
@@ -67,7 +62,7 @@
         assert isinstance(third, ReceivedFrame) and third.stream == 3 and second.waited >= 0.04
         for frame in (second, third):
             budget.release(frame.reserved)
-        stream.data = encode(65, 4, 100)
+        stream.receive(encode(65, 4, 100))
         (later,) = await read(reader)
         assert isinstance(later, ReceivedFrame) and later.waited == 0
 
@@ -79,7 +74,7 @@
         budget = ByteBudget(lambda: LIMIT)
         assert budget.try_acquire(LIMIT)
         frames_sent = [encode(65, n, 20_000) for n in (1, 2, 3)]
-        reader, _ = start(budget, *frames_sent, max_wait=0.05)
+        reader, _ = start(budget, *frames_sent, max_wait=MAX_WAIT)
         assert await read(reader) == []
         await reader.wait()
         assert await read(reader) == [RejectedFrame(1), RejectedFrame(2), RejectedFrame(3)]
@@ -88,6 +83,43 @@
     asyncio.run(run())
 
 
+def test_frames_of_a_client_that_is_still_sending_do_not_wait_afresh() -> None:
+    # Guards against a stalled client whose last requests are answered several waits after it sent them.
+    async def run() -> None:
+        budget, reader, stream = await start_stalled()
+        stream.receive(encode(65, 2, 20_000)[:100])  # the system had no more of it yet
+        assert await read(reader) == [RejectedFrame(1)]
+        stream.receive(encode(65, 2, 20_000)[100:] + encode(65, 3, 20_000) + encode(65, 4, 100)[:50])
+        assert await read(reader) == [RejectedFrame(2), RejectedFrame(3)]
+        budget.release(LIMIT)
+        stream.receive(encode(65, 4, 100)[50:] + encode(65, 5, 100))
+        for frame in await read(reader):
+            assert isinstance(frame, RejectedFrame) or frame.waited >= MAX_WAIT
+
+    asyncio.run(run())
+
+
+def test_a_client_that_never_stops_sending_has_not_waited_since_its_first_frame() -> None:
+    # Guards against requests that are rejected for good, as the socket is never found empty between two.
+    async def run() -> None:
+        budget, reader, stream = await start_stalled()
+        budget.release(LIMIT)
+        waited = []
+        for number in range(1, 4 * MAX_OPEN):
+            await asyncio.sleep(MAX_WAIT)
+            following = encode(65, number + 1, 20_000)
+            stream.receive(following[:100])
+            for frame in await read(reader):
+                assert isinstance(frame, ReceivedFrame)
+                waited.append(frame.waited)
+                budget.release(frame.reserved)
+            stream.receive(following[100:])
+        assert len(waited) > 3 * MAX_OPEN
+        assert max(waited) < (MAX_OPEN + 3) * MAX_WAIT
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("kind", [frames.CANCEL, frames.READINESS_REQUEST])
 def test_frames_without_a_request_need_no_memory(kind: int) -> None:
     async def run() -> None:
--- a/tests/run/test_receiving_time.py
+++ b/tests/run/test_receiving_time.py
@@ -11,31 +11,11 @@
 from hallproxy.run.response_reader import read_body, read_head
 from hallproxy.run.sockets import Buffer, Stream
 from tests.support.proportion import MAX_TIME_GROWTH, time_growth
+from tests.support.received_bytes import ReceivedBytes
 
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
-class ReceivedBytes:
-    """A stream that has received ``data`` and returns at most ``piece`` bytes of it for each read."""
-
-    def __init__(self, data: bytes, piece: int) -> None:
-        self._data = data
-        self._piece = piece
-        self._offset = 0
-
-    async def read_some(self, into: memoryview, _timeout: float | None = None) -> int:
-        size = min(len(into), self._piece, len(self._data) - self._offset)
-        assert size, "the message ends before its reader expects it"
-        into[:size] = self._data[self._offset : self._offset + size]
-        self._offset += size
-        return size
-
-    def read_available(self, into: memoryview) -> int:
-        size = min(len(into), self._piece)
-        into[:size] = bytes(size)
-        return size
-
-
 def receive(data: bytes, piece: int) -> bytes:
     async def run() -> bytes:
         stream, buffer = cast(Stream, ReceivedBytes(data, piece)), Buffer()
@@ -67,10 +47,10 @@
 @pytest.mark.timing("compares the processor time of two sizes")
 def test_a_message_in_small_pieces_is_buffered_in_time_proportional_to_its_bytes() -> None:
     def prepare(size: int) -> Callable[[], None]:
-        stream = cast(Stream, ReceivedBytes(b"", 1))
+        data = bytes(size)
 
         def operation() -> None:
-            buffer = Buffer()
+            stream, buffer = cast(Stream, ReceivedBytes(data)), Buffer()
             for _ in range(size):
                 buffer.fill_available(stream, 1)
                 buffer.discard(0)
