Remove the second decoder of frames, which only tests called

Cause: frames.next_frame and Frame stayed when the frame reader took their place. Change: tests decode headers with decode_header, as the gateway does; the same tables of cases.

--- a/hallproxy/wire/frames.py
+++ b/hallproxy/wire/frames.py
@@ -37,15 +37,6 @@
     """A complete frame with invalid fields: only its stream gets an error response."""
 
 
-@dataclass(slots=True, frozen=True)
-class Frame:
-    """One frame of a connection; ``payload`` is a view into the buffer that it was decoded from."""
-
-    kind: int
-    stream: int
-    payload: memoryview
-
-
 @dataclass(slots=True, frozen=True)
 class FrameHeader:
     """The start of a frame; ``size``: bytes of the whole frame on the wire."""
@@ -68,14 +59,6 @@
     return FrameHeader(SIZE.size + length, kind, stream)
 
 
-def next_frame(buffer: memoryview) -> tuple[Frame, int] | None:
-    """The first frame of the buffer and its size on the wire; None while it is incomplete."""
-    header = decode_header(buffer)
-    if header is None or len(buffer) < header.size:
-        return None
-    return Frame(header.kind, header.stream, buffer[HEAD.size : header.size]), header.size
-
-
 def decode_fields(payload: memoryview) -> tuple[dict[str, str], memoryview]:
     """The fields at the start of a payload, and what follows them."""
     try:
--- a/tests/lab/test_capacity_measures.py
+++ b/tests/lab/test_capacity_measures.py
@@ -156,12 +156,12 @@
 
     def data_received(self, data: bytes) -> None:
         while data:
-            frame, size = frames.next_frame(memoryview(data)) or (None, len(data))
-            assert frame is not None, "the client writes complete frames"
-            response = self._answer(frame.stream)
+            header = frames.decode_header(memoryview(data))
+            assert header is not None and header.size <= len(data), "the client writes complete frames"
+            response = self._answer(header.stream)
             self._transport.write(response[:7])
             asyncio.get_running_loop().call_soon(self._transport.write, response[7:])
-            data = data[size:]
+            data = data[header.size :]
 
 
 @pytest.mark.parametrize(
--- a/tests/wire/test_frames.py
+++ b/tests/wire/test_frames.py
@@ -24,19 +24,18 @@
         (b"", None),
         (b"\0\0\0", None),
         (b"\0\0\0\x05\x41\0\0\0", None),
-        (b"\0\0\0\x05\x41\0\0\0\x07", (65, 7, b"")),
-        (b"\0\0\0\x07\x50\0\0\0\x01abmore", (80, 1, b"ab")),
+        (b"\0\0\0\x05\x41\0\0\0\x07", frames.FrameHeader(9, 65, 7)),
+        (b"\0\0\0\x07\x50\0\0\0\x01abmore", frames.FrameHeader(11, 80, 1)),
         (b"\0\0\0\x04....", frames.FrameError),
         (b"\0\x04\0\x01....", frames.FrameError),
     ],
 )
-def test_frames(raw: bytes, expected: Any) -> None:
+def test_frame_headers(raw: bytes, expected: Any) -> None:
     if expected is frames.FrameError:
         with pytest.raises(frames.FrameError):
-            frames.next_frame(memoryview(raw))
+            frames.decode_header(memoryview(raw))
     else:
-        frame = frames.next_frame(memoryview(raw))
-        assert (frame and (frame[0].kind, frame[0].stream, bytes(frame[0].payload))) == expected
+        assert frames.decode_header(memoryview(raw)) == expected
 
 
 @pytest.mark.parametrize(
