Take back the processor time that the byte budgets added to a request

Change: a frame's header is decoded in place, an empty buffer not looked at; a budget asks its limits once; short-lived records are tuples; the time since the arrival goes into the request as it is decoded in place of a copy of the request (dataclasses.replace).

--- a/hallproxy/run/byte_budget.py
+++ b/hallproxy/run/byte_budget.py
@@ -29,7 +29,8 @@
 
     def try_acquire(self, size: int) -> bool:
         """Reserve ``size`` bytes if they are free and no one waits for them; returns whether they are."""
-        if self._queue(size) or not self._is_free(size):
+        is_large = self._is_large(size)
+        if self._waiters[is_large] or not self._is_free(size, is_large):
             return False
         self._acquired += size
         return True
@@ -39,7 +40,7 @@
         if self.try_acquire(size):
             return
         waiter = _Waiter(size, asyncio.get_running_loop().create_future())
-        self._queue(size).append(waiter)
+        self._waiters[self._is_large(size)].append(waiter)
         try:
             await waiter.granted
         except asyncio.CancelledError:
@@ -52,14 +53,15 @@
     def release(self, size: int) -> None:
         """Release ``size`` bytes, and grant them to those that wait."""
         self._acquired -= size
-        self._grant()
+        if self._waiters[0] or self._waiters[1]:
+            self._grant()
 
     def _grant(self) -> None:
-        for queue in self._waiters:
+        for is_large, queue in enumerate(self._waiters):
             while queue:
                 waiter = queue[0]
                 if not waiter.granted.done():
-                    if not self._is_free(waiter.size):
+                    if not self._is_free(waiter.size, bool(is_large)):
                         break
                     self._acquired += waiter.size
                     waiter.granted.set_result(None)
@@ -68,9 +70,6 @@
     def _is_large(self, size: int) -> bool:
         return 0 < self._small_limit() < size
 
-    def _queue(self, size: int) -> deque[_Waiter]:
-        return self._waiters[self._is_large(size)]
-
-    def _is_free(self, size: int) -> bool:
-        quarters = 3 if self._is_large(size) else 4
+    def _is_free(self, size: int, is_large: bool) -> bool:
+        quarters = 3 if is_large else 4
         return not self._acquired or self._acquired + size <= self._limit() * quarters // 4
--- a/hallproxy/run/downstream_connection.py
+++ b/hallproxy/run/downstream_connection.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, replace
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from tornado.iostream import StreamClosedError
 
@@ -82,8 +81,7 @@
         ...
 
 
-@dataclass(slots=True, frozen=True)
-class QueuedRequest:
+class QueuedRequest(NamedTuple):
     """A request that has been received and not started yet."""
 
     payload: bytes
@@ -91,8 +89,7 @@
     reserved: int  # bytes of the budget for requests
 
 
-@dataclass(slots=True, frozen=True)
-class StartedRequest:
+class StartedRequest(NamedTuple):
     """A request that awaits its response."""
 
     downstream: int  # the runner's number
@@ -268,24 +265,23 @@
     def start_request(self, stream_id: int) -> None:
         """Dispatch a queued request; an invalid one is answered with an error."""
         queued = self.queued.pop(stream_id)
-        request = None if self._stream.closed() else self._decode_request(stream_id, queued.payload)
+        runner = self._owner.runner
+        now = runner.now()
+        request = None if self._stream.closed() else self._decode_request(stream_id, queued, now)
         if request is None:
             self._owner.request_budget.release(queued.reserved)
             return
         if self._owner.teams is not None:
             request = self._owner.teams.assign_owner(request, self._address)
-        runner = self._owner.runner
-        now = runner.now()
         downstream = runner.register_downstream(lambda response: self._respond(stream_id, response))
         self.in_flight[stream_id] = StartedRequest(downstream, queued.reserved)
-        # The client's deadline counts from the arrival and so includes the time in the queue.
-        time_left = max(0, request.time_left - (now - queued.received_at))
-        runner.dispatch(RequestReceived(now, downstream, replace(request, time_left=time_left)))
+        runner.dispatch(RequestReceived(now, downstream, request))
 
-    def _decode_request(self, stream_id: int, payload: bytes) -> ClientRequest | None:
+    def _decode_request(self, stream_id: int, queued: QueuedRequest, now: int) -> ClientRequest | None:
         settings = self._owner.runner.state.settings
+        payload, elapsed = memoryview(queued.payload), now - queued.received_at
         try:
-            return frames.decode_request(memoryview(payload), self._owner.class_indices, settings)
+            return frames.decode_request(payload, self._owner.class_indices, settings, elapsed)
         except frames.FieldError as error:
             try:
                 self._reject_request(frames.encode_error(str(error), stream_id))
--- a/hallproxy/run/frame_reader.py
+++ b/hallproxy/run/frame_reader.py
@@ -4,8 +4,9 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from hallproxy.run.byte_budget import ByteBudget
 from hallproxy.run.sockets import Buffer, Stream
@@ -17,8 +18,7 @@
 MAX_READ_BYTES = 16_384  # in one read, whatever length a frame claims
 
 
-@dataclass(slots=True, frozen=True)
-class ReceivedFrame:
+class ReceivedFrame(NamedTuple):
     """A complete frame. Its ``reserved`` bytes of the budget are the receiver's to release."""
 
     kind: int
@@ -28,8 +28,7 @@
     waited: float  # s; the longest that it can have been unread, as there was no memory
 
 
-@dataclass(slots=True, frozen=True)
-class RejectedFrame:
+class RejectedFrame(NamedTuple):
     """A request's frame that was dropped as it arrived, as there was no memory for it in time."""
 
     stream: int
@@ -74,12 +73,13 @@
         """Whether the next frame waits for memory."""
         return self._needed > 0
 
-    async def wait(self) -> None:
+    def wait(self) -> Awaitable[None]:
         """Wait for bytes to decode, or for the memory of the next frame, as long as it may wait."""
-        if not self._needed:
-            free = min(MAX_READ_BYTES, max(MIN_READ_BYTES, self.missing))
-            await self._buffer.fill(self._stream, free)
-            return
+        if self._needed:
+            return self._wait_for_memory()
+        return self._buffer.fill(self._stream, min(MAX_READ_BYTES, max(MIN_READ_BYTES, self.missing)))
+
+    async def _wait_for_memory(self) -> None:
         try:
             await asyncio.wait_for(self._budget.acquire(self._needed), max(0.0, self._wait_left()))
         except TimeoutError:
@@ -100,21 +100,21 @@
         self.missing = self._needed = 0
         if self._drop is not None:
             return self._drop_available(self._drop)
-        buffer = self._buffer
-        with memoryview(buffer.data) as data, data[self._offset : buffer.filled] as view:
-            header = frames.decode_header(view)
-            if header is None:
-                self.missing = frames.HEAD.size - len(view) if len(view) else 0
-                return None
-            if not self._may_hold(header):
-                if self._wait_left() > 0:
-                    self._needed = header.size
-                    return None
-            elif len(view) < header.size:
-                self.missing = header.size - len(view)
-                return None
-            else:
-                return self._complete(header, bytes(view[frames.HEAD.size : header.size]))
+        available = self._buffer.filled - self._offset
+        if not available:
+            return None
+        header = frames.decode_header(self._buffer.data, self._offset, self._buffer.filled)
+        if header is None:
+            self.missing = frames.HEAD.size - available
+            return None
+        if self._may_hold(header):
+            if available >= header.size:
+                return self._complete(header)
+            self.missing = header.size - available
+            return None
+        if self._wait_left() > 0:
+            self._needed = header.size
+            return None
         self._drop = _Drop(header.stream, header.size)
         return self._drop_available(self._drop)
 
@@ -137,8 +137,11 @@
         assert self._waiting_since is not None, "only frames that have to wait are asked for"
         return self._waiting_since + self._max_wait() - self._clock()
 
-    def _complete(self, header: frames.FrameHeader, payload: bytes) -> ReceivedFrame:
-        self._offset += header.size
+    def _complete(self, header: frames.FrameHeader) -> ReceivedFrame:
+        end = self._offset + header.size
+        with memoryview(self._buffer.data) as data:
+            payload = bytes(data[self._offset + frames.HEAD.size : end])
+        self._offset = end
         reserved, self._reserved = self._reserved, 0
         waited = 0.0 if self._waiting_since is None else self._clock() - self._waiting_since
         if header.kind == frames.REQUEST:
--- a/hallproxy/run/sockets.py
+++ b/hallproxy/run/sockets.py
@@ -9,6 +9,7 @@
 from collections.abc import Sequence
 from typing import Any
 
+from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, SSLIOStream, StreamClosedError
 
 INITIAL_BUFFER_SIZE = 16_384  # bytes
@@ -36,10 +37,10 @@
 
         No budget would count that block, and reads that do not wait would continue behind it.
         """
-        if events & self.io_loop.READ and not (self.reading() or self._connecting or self.closed()):
-            events &= ~self.io_loop.READ
+        if self._read_future is None and events & IOLoop.READ and not (self._connecting or self.closed()):
+            events &= ~IOLoop.READ
             assert self._state is not None, "events arrive only for a registered stream"
-            self._state &= ~self.io_loop.READ  # the next read registers it again
+            self._state &= ~IOLoop.READ  # the next read registers it again
             self.io_loop.update_handler(self.fileno(), self._state)
             if not events:
                 return
--- a/hallproxy/run/upstream_connections.py
+++ b/hallproxy/run/upstream_connections.py
@@ -222,7 +222,8 @@
         size = min(
             CHUNKED_BODY_BYTES if head.body_length is None else head.body_length, self._codec.max_body_bytes
         )
-        await self._budget.acquire(size)
+        if not self._budget.try_acquire(size):
+            await self._budget.acquire(size)
         try:
             return await self._receive_body(connection, head)
         finally:
--- a/hallproxy/wire/frames.py
+++ b/hallproxy/wire/frames.py
@@ -5,7 +5,7 @@
 import re
 import struct
 from collections.abc import Mapping
-from dataclasses import dataclass
+from typing import NamedTuple
 
 from hallproxy import interface as i
 from hallproxy.state.events import ClientRequest, Response, ResponseKind
@@ -37,8 +37,7 @@
     """A complete frame with invalid fields: only its stream gets an error response."""
 
 
-@dataclass(slots=True, frozen=True)
-class FrameHeader:
+class FrameHeader(NamedTuple):
     """The start of a frame; ``size``: bytes of the whole frame on the wire."""
 
     size: int
@@ -46,16 +45,20 @@
     stream: int
 
 
-def decode_header(buffer: memoryview) -> FrameHeader | None:
-    """The header of the frame that the buffer begins with; None while it is incomplete."""
-    if len(buffer) < SIZE.size:
+def decode_header(buffer: bytes | bytearray, start: int = 0, end: int | None = None) -> FrameHeader | None:
+    """The header of the frame at ``start``; None while it is incomplete.
+
+    ``end``: where the received bytes end; None: with the buffer.
+    """
+    received = (len(buffer) if end is None else end) - start
+    if received < SIZE.size:
         return None
-    (length,) = SIZE.unpack_from(buffer)
+    (length,) = SIZE.unpack_from(buffer, start)
     if not MIN_FRAME_BYTES <= length <= MAX_REQUEST_FRAME_BYTES:
         raise FrameError(f"a frame of {length} bytes")
-    if len(buffer) < HEAD.size:
+    if received < HEAD.size:
         return None
-    _, kind, stream = HEAD.unpack_from(buffer)
+    _, kind, stream = HEAD.unpack_from(buffer, start)
     return FrameHeader(SIZE.size + length, kind, stream)
 
 
@@ -101,10 +104,13 @@
     return int(text)
 
 
-def decode_request(payload: memoryview, classes: Mapping[str, int], settings: i.Settings) -> ClientRequest:
+def decode_request(
+    payload: memoryview, classes: Mapping[str, int], settings: i.Settings, elapsed: int = 0
+) -> ClientRequest:
     """A request from a frame's payload; FieldError where a field is missing or invalid.
 
-    ``classes`` maps each class's name to its index in ``settings``.
+    ``classes`` maps each class's name to its index in ``settings``. ``elapsed``: ns since the request
+    arrived, which its time to the deadline includes.
     """
     fields, body = decode_fields(payload)
     class_index = classes.get(fields.get("op", ""))
@@ -126,7 +132,7 @@
     return ClientRequest(
         request_id=request_id,
         class_index=class_index,
-        time_left=max(0, ttl * MS - TRANSIT_ALLOWANCE),
+        time_left=max(0, ttl * MS - TRANSIT_ALLOWANCE - elapsed),
         object=_decode_hex(name, 16, "row"),
         name=name,
         part=_decode_number(fields, "nth", 0, MAX_PART),
--- a/tests/lab/test_capacity_measures.py
+++ b/tests/lab/test_capacity_measures.py
@@ -156,7 +156,7 @@
 
     def data_received(self, data: bytes) -> None:
         while data:
-            header = frames.decode_header(memoryview(data))
+            header = frames.decode_header(data)
             assert header is not None and header.size <= len(data), "the client writes complete frames"
             response = self._answer(header.stream)
             self._transport.write(response[:7])
--- a/tests/wire/test_frames.py
+++ b/tests/wire/test_frames.py
@@ -33,9 +33,9 @@
 def test_frame_headers(raw: bytes, expected: Any) -> None:
     if expected is frames.FrameError:
         with pytest.raises(frames.FrameError):
-            frames.decode_header(memoryview(raw))
+            frames.decode_header(raw)
     else:
-        assert frames.decode_header(memoryview(raw)) == expected
+        assert frames.decode_header(raw) == expected
 
 
 @pytest.mark.parametrize(
@@ -106,6 +106,12 @@
     )
 
 
+@pytest.mark.parametrize(("elapsed", "time_left"), [(96_000_000, 1_400_000_000), (2_000_000_000, 0)])
+def test_the_time_since_the_arrival_counts_as_the_requests_own(elapsed: int, time_left: int) -> None:
+    payload = memoryview(frames.encode_fields(VALID_FIELDS))
+    assert frames.decode_request(payload, CLASSES, SETTINGS, elapsed).time_left == time_left
+
+
 @pytest.mark.parametrize(
     ("response", "frame"),
     [
