Drop timers of ended requests: the event loop kept each until its time

What callers saw: nothing yet; small requests at 6,000 a second took a gateway of 32 MB to 47 MB, where it would have been killed. Cause: a timer for each request, attempt and connection stayed in the event loop until its time, 35,931 of them after 6 s, 600 bytes each, bounded by the rate and the deadline alone. Evidence: objects counted by type in the running gateway; test_requests_that_are_answered_leave_nothing was red before with 34.7 MB of 33.6. Fix: one heap with one timer of the event loop, which drops what has ended whenever it has doubled.

--- a/hallproxy/run/effect_runner.py
+++ b/hallproxy/run/effect_runner.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from hallproxy.run.log import log_line
+from hallproxy.run.timer_queue import TimerQueue
 from hallproxy.state.effects import (
     CloseConnection,
     Effect,
@@ -20,9 +21,10 @@
     SendRequest,
     SendResponse,
 )
-from hallproxy.state.events import Event, Response
+from hallproxy.state.events import Event, Response, TimerEvent
 from hallproxy.state.model import GatewayState
 from hallproxy.state.reducer import reduce
+from hallproxy.state.timers import is_timer_needed
 
 # Turns of the event loop from a timer to its event: one that polls the sockets, as the turn of the timer may
 # not have polled them (after a signal), one that wakes a reader, and one in which the reader has run.
@@ -58,6 +60,7 @@
         self.extension_handler: Callable[[ExtensionEffect], None] = (
             lambda _: None
         )  # performs the effects of extensions
+        self.timers = TimerQueue(lambda event: is_timer_needed(state, event), self._timer_due)
         self._events: deque[Event] = deque()
         self._dispatching = False
         self._last_downstream = 0
@@ -102,8 +105,7 @@
                 if callback is not None:
                     callback(effect.response)
             case ScheduleTimer():
-                delay = max(0, effect.event.at - time.time_ns()) / 1e9
-                asyncio.get_running_loop().call_later(delay, self._timer_due, effect.event)
+                self.timers.schedule(effect.event)
             case OpenConnection():
                 self.connections.open(effect.connection, effect.address)
             case CloseConnection():
@@ -113,11 +115,8 @@
             case ExtensionEffect():
                 self.extension_handler(effect)
 
-    def _timer_due(self, event: Event) -> None:
-        if event.at > time.time_ns():  # the event loop's clock and the system's differ slightly
-            asyncio.get_running_loop().call_later((event.at - time.time_ns()) / 1e9, self._timer_due, event)
-        else:
-            self._dispatch_after(event, TIMER_TURNS)
+    def _timer_due(self, event: TimerEvent) -> None:
+        self._dispatch_after(event, TIMER_TURNS)
 
     def _dispatch_after(self, event: Event, turns: int) -> None:
         """Dispatch the event some turns later, after what the sockets had received when its timer fired.
--- a/hallproxy/state/effects.py
+++ b/hallproxy/state/effects.py
@@ -4,14 +4,7 @@
 
 from dataclasses import dataclass
 
-from hallproxy.state.events import (
-    AttemptTimerDue,
-    ConnectionTimerDue,
-    QueueTimerDue,
-    RequestTimerDue,
-    Response,
-    RouterTimerDue,
-)
+from hallproxy.state.events import Response, TimerEvent
 
 
 @dataclass(slots=True, frozen=True)
@@ -100,7 +93,7 @@
 class ScheduleTimer:
     """Dispatch the event at its time ``at``."""
 
-    event: RouterTimerDue | AttemptTimerDue | ConnectionTimerDue | RequestTimerDue | QueueTimerDue
+    event: TimerEvent
 
 
 @dataclass(slots=True, frozen=True)
--- a/hallproxy/state/events.py
+++ b/hallproxy/state/events.py
@@ -307,6 +307,8 @@
     at: int
 
 
+TimerEvent = RouterTimerDue | AttemptTimerDue | ConnectionTimerDue | RequestTimerDue | QueueTimerDue
+
 Event = (
     RequestReceived
     | DownstreamClosed
@@ -316,11 +318,7 @@
     | EndpointListUpdated
     | PurgeNotified
     | WatchCaughtUp
-    | RouterTimerDue
-    | AttemptTimerDue
-    | ConnectionTimerDue
-    | RequestTimerDue
-    | QueueTimerDue
+    | TimerEvent
     | ContractsUpdated
     | EventLoopLagged
     | Reconfigured
--- a/tests/run/test_memory.py
+++ b/tests/run/test_memory.py
@@ -190,6 +190,27 @@
     assert quiet.responses and all(code == SERVED for code, _ in quiet.responses)
 
 
+def test_requests_that_are_answered_leave_nothing_in_memory_until_their_deadline(
+    start_platform: Callable[..., Platform],
+) -> None:
+    # Guards against timers of ended requests, which took the memory of their rate times their deadline.
+    platform = start_platform(limits={"memory_mb": 32, "sockets": 512})
+
+    def run(first_row: int) -> None:
+        client = platform.client()
+        for row in range(first_row, first_row + 2_500):
+            client.send_request(op="small", row=row, ttl="3000")
+            assert client.read_response()[0] == SERVED
+
+    threads = [threading.Thread(target=run, args=(10_000 * n,)) for n in range(1, 9)]
+    with memory_watched(platform) as peak:
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+    assert 0 < peak[0] < 32 * MB
+
+
 @dataclass(eq=False)
 class UnreadConnection:
     unsent_bytes: int
