Divide the client's connection: writing and its limits in a module of their own

Change: ResponseWriter writes and closes a client that leaves too much unread; the connection keeps requests and its states. Behaviour and log lines as before.

--- a/hallproxy/run/downstream_connection.py
+++ b/hallproxy/run/downstream_connection.py
@@ -10,8 +10,8 @@
 from hallproxy.run.byte_budget import ByteBudget
 from hallproxy.run.effect_runner import EffectRunner
 from hallproxy.run.frame_reader import FrameReader, ReceivedFrame, RejectedFrame
-from hallproxy.run.log import log_line
 from hallproxy.run.platform_teams import PlatformTeams
+from hallproxy.run.response_writer import ResponseWriter, UnsentLimit
 from hallproxy.run.sockets import Stream
 from hallproxy.state.events import (
     ClientRequest,
@@ -25,7 +25,6 @@
 from hallproxy.wire import frames
 
 MAX_IN_FLIGHT = 32  # requests on one connection, queued ones included
-MAX_UNSENT_BYTES = 2 * 1024 * 1024  # for a client that does not read; over that it is closed
 FRAME_TIMEOUT = 2.0  # s for the first frame, and for the rest of each one that has begun
 MAX_INVALID_REQUESTS = 16  # on one connection; then it is closed
 MAX_RECEIVED_BYTES = 131_072  # read before the received requests are started
@@ -38,7 +37,7 @@
 UNSENT_LIMIT_REACHED = Response(ResponseKind.FAILED, reason=FailureReason.BUSY)
 
 
-class Owner(Protocol):
+class Owner(UnsentLimit, Protocol):
     """The interface of the set of all connections to one of them."""
 
     runner: EffectRunner
@@ -64,14 +63,6 @@
         """Start queued requests, up to the limit of this turn of the event loop."""
         ...
 
-    def has_room_for(self, size: int) -> bool:
-        """Whether all connections together may have ``size`` more unsent bytes."""
-        ...
-
-    def shed_unsent(self) -> None:
-        """Close connections whose responses stay unread, until all have few enough unsent bytes."""
-        ...
-
     def linger(self, connection: DownstreamConnection) -> None:
         """Move the connection to those whose write side is closed."""
         ...
@@ -116,8 +107,8 @@
         self.write_closed = False
         self._clock = asyncio.get_running_loop().time
         self._reader = FrameReader(stream, owner.request_budget, owner.max_memory_wait, MAX_IN_FLIGHT)
+        self._writer = ResponseWriter(stream, owner)
         self.idle_since = self._clock()
-        self.unsent_since = self._clock()  # since when the client has not read all; valid with unsent bytes
         self._invalid_requests = 0
         self._sent_go_away = False
         self._frame_timer: asyncio.TimerHandle | None = None
@@ -208,7 +199,7 @@
                 self.has_requested = True
                 if isinstance(frame, RejectedFrame):
                     self._check_new(frame.stream)
-                    self._write(frames.encode_response(frame.stream, BUSY))
+                    self._writer.write(frames.encode_response(frame.stream, BUSY))
                 elif not self._is_queued(frame):
                     self._owner.request_budget.release(frame.reserved)
         finally:
@@ -231,7 +222,7 @@
             self._cancel(frame.stream)
         elif frame.kind == frames.READINESS_REQUEST:
             code = frames.SERVED if not self._owner.stopping else frames.REJECTED
-            self._write(frames.encode_frame(frames.READINESS_RESPONSE, frame.stream, bytes((code, 0))))
+            self._writer.write(frames.encode_frame(frames.READINESS_RESPONSE, frame.stream, bytes((code, 0))))
         else:
             raise frames.FrameError(f"a frame of type {frame.kind}")
 
@@ -290,14 +281,14 @@
         return None
 
     def _reject_request(self, pieces: list[bytes]) -> None:
-        self._write(pieces)
+        self._writer.write(pieces)
         self._invalid_requests += 1
         if self._invalid_requests >= MAX_INVALID_REQUESTS:
             raise frames.FrameError("too many requests that can't be used")
 
     def _fail(self, text: str) -> None:
         """Send the error, accept no more requests, and end after the last response."""
-        self._write(frames.encode_error(text))
+        self._writer.write(frames.encode_error(text))
         self.end()
 
     def _set_frame_timeout(self, timeout: float | None) -> None:
@@ -312,30 +303,12 @@
         started = self.in_flight.pop(stream_id, None)
         if started is not None:
             self._owner.request_budget.release(started.reserved)
-        if not self._has_room_for(len(response.body)):
+        if not self._writer.has_room_for(len(response.body)):
             response = UNSENT_LIMIT_REACHED
-        self._write(frames.encode_response(stream_id, response))
+        self._writer.write(frames.encode_response(stream_id, response))
         if self.ending:
             self._finish_writing()
 
-    def _has_room_for(self, size: int) -> bool:
-        """Whether ``size`` more bytes may be written; always to a client that has read everything."""
-        return not (size and self._stream.unsent_bytes) or self._owner.has_room_for(size)
-
-    def _write(self, pieces: list[bytes]) -> None:
-        if not self._stream.unsent_bytes:
-            self.unsent_since = self._clock()
-        try:
-            self._stream.write_pieces(pieces)
-        except StreamClosedError:
-            return  # serve() ends the connection
-        unsent = self._stream.unsent_bytes
-        if unsent > MAX_UNSENT_BYTES:
-            log_line("a client does not read its responses: connection closed")
-            self._stream.close()
-        elif unsent:
-            self._owner.shed_unsent()
-
     def end(self) -> None:
         """Accept no more requests; close the write side after the last response."""
         if not self.ending:
@@ -350,7 +323,7 @@
             self._end_deadline = self._clock() + MAX_UNSENT_WAIT
         elif self._stream.closed() or self.write_closed:
             return
-        elif not self._stream.unsent_bytes:
+        elif not self._writer.unsent_bytes:
             self.write_closed = True
             self._stream.half_close()
             self._owner.linger(self)
@@ -371,7 +344,7 @@
         return not (
             self.in_flight
             or self.queued
-            or self._stream.unsent_bytes
+            or self._writer.unsent_bytes
             or self._reader.needs_memory
             or self._stream.is_stale()
         )
@@ -384,10 +357,15 @@
     @property
     def unsent_bytes(self) -> int:
         """Bytes not yet passed to the system, as the client does not read."""
-        return self._stream.unsent_bytes
+        return self._writer.unsent_bytes
+
+    @property
+    def unsent_since(self) -> float:
+        """Since when (event loop's time) the client has not read all; valid while there are unsent bytes."""
+        return self._writer.unsent_since
 
     def go_away(self) -> None:
         """Tell the client, once, to send no more requests on this connection."""
         if not self._sent_go_away:
             self._sent_go_away = True
-            self._write(frames.encode_frame(frames.GO_AWAY, 0))
+            self._writer.write(frames.encode_frame(frames.GO_AWAY, 0))
