--- a/hallproxy/run/sockets.py
+++ b/hallproxy/run/sockets.py
@@ -37,7 +37,7 @@
 
         No budget would count that block, and reads that do not wait would continue behind it.
         """
-        if self._read_future is None and events & IOLoop.READ and not (self._connecting or self.closed()):
+        if events & IOLoop.READ and not (self.reading() or self._connecting or self.closed()):
             events &= ~IOLoop.READ
             assert self._state is not None, "events arrive only for a registered stream"
             self._state &= ~IOLoop.READ  # the next read registers it again
