--- a/hallproxy/run/contracts.py
+++ b/hallproxy/run/contracts.py
@@ -21,10 +21,10 @@
 from hallproxy.broker.networks import NetworkError, normalize_network
 from hallproxy.broker.token_bucket import Rate
 from hallproxy.run.config import read_toml
+from hallproxy.state.units import SECOND
 
 FORMAT = 1  # version of the plan and state files
 MS = 1_000_000  # ns
-SECOND = 1_000_000_000  # ns
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
 _CONTRACT_TYPES = {"team": str, "service": str, "class": str, "deadline_ms": int, "requests": int,
                    "bytes": int, "window_s": int, "rate": float, "burst": float, "byte_rate": float,
--- a/hallproxy/run/downstream_connection.py
+++ b/hallproxy/run/downstream_connection.py
@@ -22,6 +22,7 @@
     ResponseKind,
 )
 from hallproxy.state.lifecycle import BUSY
+from hallproxy.state.units import SECOND
 from hallproxy.wire import frames
 
 MAX_IN_FLIGHT = 32  # requests on one connection, queued ones included
@@ -32,7 +33,6 @@
 MAX_LINGER_BYTES = 262_144  # ...or until this many bytes
 UNSENT_POLL_INTERVAL = 0.02  # s between checks whether the last bytes have been sent
 MAX_UNSENT_WAIT = 3.0  # s for which a client that reads nothing can delay the close of its connection
-SECOND = 1_000_000_000  # ns
 # In place of a response for which a client that reads slowly leaves no memory.
 UNSENT_LIMIT_REACHED = Response(ResponseKind.FAILED, reason=FailureReason.BUSY)
 
--- a/hallproxy/run/downstream_connections.py
+++ b/hallproxy/run/downstream_connections.py
@@ -11,6 +11,7 @@
 from hallproxy.run.log import log_line
 from hallproxy.run.platform_teams import PlatformTeams
 from hallproxy.run.sockets import tcp_stream
+from hallproxy.state.units import SECOND
 
 MAX_STARTS_PER_TURN = 16  # requests, of all connections, in one turn of the event loop
 MAX_LINGERING = 16  # connections; over that the oldest is closed at once
@@ -18,7 +19,6 @@
 END_POLL_INTERVAL = 0.002  # s
 SMALL_REQUEST_BYTES = 4096  # up to which a request may use the last quarter of the memory for requests
 MEMORY_WAIT_SHARE = 0.25  # of the shortest deadline, for which requests may wait unread for memory
-SECOND = 1_000_000_000  # ns
 
 
 class DownstreamConnections:
--- a/hallproxy/run/shutdown.py
+++ b/hallproxy/run/shutdown.py
@@ -9,8 +9,8 @@
 from hallproxy.run.effect_runner import EffectRunner
 from hallproxy.run.log import log_line
 from hallproxy.state.events import ShutdownStarted
+from hallproxy.state.units import SECOND
 
-SECOND = 1_000_000_000  # ns
 POLL_INTERVAL = 0.02  # s
 # Times after SIGTERM:
 ACCEPT_PERIOD = 0.8  # s in which new connections and requests are still accepted
--- a/hallproxy/run/timer_queue.py
+++ b/hallproxy/run/timer_queue.py
@@ -9,9 +9,9 @@
 from typing import NamedTuple
 
 from hallproxy.state.events import TimerEvent
+from hallproxy.state.units import SECOND
 
 MIN_COMPACTED_ENTRIES = 256  # below that the queue is not searched for entries to remove
-SECOND = 1_000_000_000  # ns
 
 
 class _Entry(NamedTuple):
