Bound a response by the protocol: one too long took its connection's others along

What callers saw: eight requests on one connection, of which one got a spoilt answer of 270,000 bytes; its frame had 270,007, where the protocol has 262,144 at most. Cause: a store's body was read up to 300,000 bytes, over the protocol's 240,000 for a part and over what a frame carries, and the encoder of frames checked no length. Evidence: test_a_response_over_the_limit_of_a_part_ends_only_its_own_request failed before for each body of status 200 that has a length or is chunked (240,001, 262,137 and 262,138 bytes) and held for the others; test_a_response_over_the_limit_of_a_frame_is_not_encoded and test_fields_whose_sizes_do_not_fit failed too. Fix: a body over 240,000 bytes is malformed, as any other length that does not fit: its connection is closed and the request retried as its class allows. The encoder raises EncodeError before a byte is written, and the one request is answered "failed", so no reader is ever left amid a frame, whatever a response holds.

--- a/hallproxy/run/downstream_connection.py
+++ b/hallproxy/run/downstream_connection.py
@@ -10,6 +10,7 @@
 from hallproxy.run.byte_budget import ByteBudget
 from hallproxy.run.effect_runner import EffectRunner
 from hallproxy.run.frame_reader import FrameReader, ReceivedFrame, RejectedFrame
+from hallproxy.run.log import log_line
 from hallproxy.run.platform_teams import PlatformTeams
 from hallproxy.run.response_writer import ResponseWriter, UnsentLimit
 from hallproxy.run.sockets import Stream
@@ -35,6 +36,8 @@
 MAX_UNSENT_WAIT = 3.0  # s for which a client that reads nothing can delay the close of its connection
 # In place of a response for which a client that reads slowly leaves no memory.
 UNSENT_LIMIT_REACHED = Response(ResponseKind.FAILED, reason=FailureReason.BUSY)
+# In place of a response that no frame can carry. The request has run.
+NOT_ENCODABLE = Response(ResponseKind.FAILED, reason=FailureReason.ERROR)
 
 
 class Owner(UnsentLimit, Protocol):
@@ -305,7 +308,7 @@
             self._owner.request_budget.release(started.reserved)
         if not self._writer.has_room_for(len(response.body)):
             response = UNSENT_LIMIT_REACHED
-        self._writer.write(frames.encode_response(stream_id, response))
+        self._writer.write(_encode(stream_id, response))
         if self.ending:
             self._finish_writing()
 
@@ -369,3 +372,12 @@
         if not self._sent_go_away:
             self._sent_go_away = True
             self._writer.write(frames.encode_frame(frames.GO_AWAY, 0))
+
+
+def _encode(stream_id: int, response: Response) -> list[bytes]:
+    """The response's frame; a failure for one that no frame can carry, so that only its request fails."""
+    try:
+        return frames.encode_response(stream_id, response)
+    except frames.EncodeError as error:
+        log_line(f"response on stream {stream_id} is not sent: {error}")
+        return frames.encode_response(stream_id, NOT_ENCODABLE)
--- a/hallproxy/wire/frames.py
+++ b/hallproxy/wire/frames.py
@@ -12,10 +12,14 @@
 
 HEAD = struct.Struct(">IBI")  # length (of what follows it), kind, stream
 SIZE = struct.Struct(">I")
+_VALUE_SIZE = struct.Struct(">H")
 # As in the length field, which does not count itself.
 MIN_FRAME_BYTES, MAX_FRAME_BYTES = 5, 262_144
 MAX_REQUEST_FRAME_BYTES = 65_536  # a client's frame: its body and the largest useful fields
 MAX_BODY_BYTES = 48_000  # of a client's frame
+MAX_FIELDS = 255  # of one frame, as counted in one byte
+MAX_FIELD_NAME_BYTES = 255
+MAX_FIELD_VALUE_BYTES = 65_535
 REQUEST, RESPONSE, CANCEL, READINESS_REQUEST, READINESS_RESPONSE, GO_AWAY = 65, 66, 67, 80, 81, 90
 SERVED, REJECTED, FAILED = 79, 66, 69
 MAX_SIZE_KB = 1e6  # of a part
@@ -37,6 +41,10 @@
     """A complete frame with invalid fields: only its stream gets an error response."""
 
 
+class EncodeError(ValueError):
+    """A message that the format can't carry: nothing of it may be written."""
+
+
 class FrameHeader(NamedTuple):
     """The start of a frame; ``size``: bytes of the whole frame on the wire."""
 
@@ -82,11 +90,15 @@
 
 
 def encode_fields(fields: Mapping[str, str]) -> bytes:
-    """The fields as encoded at the start of a payload."""
+    """The fields as encoded at the start of a payload; EncodeError where their sizes don't fit."""
+    if len(fields) > MAX_FIELDS:
+        raise EncodeError(f"{len(fields)} fields; {MAX_FIELDS} at most")
     parts = [bytes((len(fields),))]
     for name, value in fields.items():
-        raw = value.encode()
-        parts.append(struct.pack(f">B{len(name)}sH", len(name), name.encode(), len(raw)) + raw)
+        raw_name, raw_value = name.encode(), value.encode()
+        if len(raw_name) > MAX_FIELD_NAME_BYTES or len(raw_value) > MAX_FIELD_VALUE_BYTES:
+            raise EncodeError(f"field {name[:40]!r} of {len(raw_name)} and {len(raw_value)} bytes")
+        parts += [bytes((len(raw_name),)), raw_name, _VALUE_SIZE.pack(len(raw_value)), raw_value]
     return b"".join(parts)
 
 
@@ -161,7 +173,7 @@
 
 
 def encode_response(stream: int, response: Response) -> list[bytes]:
-    """The pieces of a response's frame: the head, then the body unchanged."""
+    """The pieces of a response's frame: the head, then the body unchanged; EncodeError if it is too long."""
     fields: dict[str, str] = {}
     if response.not_modified:
         fields["ok304"] = "1"
@@ -172,8 +184,13 @@
 
 
 def encode_frame(kind: int, stream: int, start: bytes = b"", body: bytes = b"") -> list[bytes]:
-    """The pieces of a frame whose payload is ``start`` and then ``body``, which is not copied."""
+    """The pieces of a frame whose payload is ``start`` and then ``body``, which is not copied.
+
+    EncodeError for a frame over ``MAX_FRAME_BYTES``: its receiver could not find where the next one begins.
+    """
     length = MIN_FRAME_BYTES + len(start) + len(body)
+    if length > MAX_FRAME_BYTES:
+        raise EncodeError(f"a frame of {length} bytes; {MAX_FRAME_BYTES} at most")
     head = HEAD.pack(length, kind, stream) + start
     return [head, body] if body else [head]
 
--- a/hallproxy/wire/stores.py
+++ b/hallproxy/wire/stores.py
@@ -11,7 +11,7 @@
 SECOND = 1_000_000_000  # ns
 STALL_SHARE = 0.25  # stall timeout as a fraction of the shortest latency objective, ...
 MIN_STALL_S = 0.03  # ...but at least this
-MAX_BODY_BYTES = 300_000  # of an object's part; a longer response is not read
+MAX_BODY_BYTES = 240_000  # of an object's part; a longer response is malformed
 
 
 def encode_request_head(request: UpstreamRequest, host: str, settings: i.Settings) -> bytes:
--- /dev/null
+++ b/tests/run/test_downstream_connection.py
@@ -0,0 +1,63 @@
+"""A client's connection, with a socket pair and the reducer's part played by the test."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+
+import pytest
+
+from hallproxy.decisions import Router
+from hallproxy.run.downstream_connections import DownstreamConnections
+from hallproxy.run.effect_runner import EffectRunner
+from hallproxy.state.events import Event, RequestReceived, Response, ResponseKind
+from hallproxy.state.model import GatewayState
+from hallproxy.wire import frames
+from hallproxy.wire.simulator_settings import settings_from_json
+from tests.support.gateway import platform_settings
+
+SETTINGS = settings_from_json(json.dumps(platform_settings()).encode())
+FIELDS = {"op": "segment", "ttl": "2000", "row": f"{1:016x}", "nth": "0", "batch": "1", "heap": "40.0"}
+TOO_LONG = Response(ResponseKind.SERVED, bytes(frames.MAX_FRAME_BYTES))
+SERVED = Response(ResponseKind.SERVED, b"bytes")
+
+
+def new_runner() -> EffectRunner:
+    return EffectRunner(GatewayState(SETTINGS, Router(SETTINGS, 1)))
+
+
+def encode_request(stream: int) -> bytes:
+    fields = frames.encode_fields(FIELDS | {"call": f"{stream:016x}"})
+    return b"".join(frames.encode_frame(frames.REQUEST, stream, fields))
+
+
+def test_a_response_that_no_frame_can_carry_fails_only_its_own_request(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    # Guards against a response that is written though its client can't read it, or that is never answered.
+    async def run() -> list[bytes]:
+        runner = new_runner()
+        received: list[Event] = []
+        runner.dispatch = received.append  # type: ignore[method-assign,assignment]
+        owner = DownstreamConnections(runner)
+        ours, theirs = socket.socketpair()
+        ours.setblocking(False)
+        theirs.setblocking(False)
+        theirs.sendall(encode_request(1) + encode_request(2))
+        owner.accept(ours, ("127.0.0.1", 1))
+        while len(received) < 2:
+            await asyncio.sleep(0.001)
+        for event, answer in zip(received, (TOO_LONG, SERVED), strict=True):
+            assert isinstance(event, RequestReceived)
+            runner.response_callbacks.pop(event.downstream)(answer)
+        data = b""
+        while not data.endswith(b"bytes"):
+            data += await asyncio.get_running_loop().sock_recv(theirs, 4096)
+        theirs.close()
+        await asyncio.sleep(0.01)
+        return [data]
+
+    failed = b"".join(frames.encode_response(1, Response(ResponseKind.FAILED)))
+    assert asyncio.run(run()) == [failed + b"".join(frames.encode_response(2, SERVED))]
+    assert "response on stream 1 is not sent" in capsys.readouterr().err
--- a/tests/run/test_malformed_input.py
+++ b/tests/run/test_malformed_input.py
@@ -23,6 +23,7 @@
     HttpStandIn,
     Listener,
     Platform,
+    ReceivedRequest,
     instance_record,
     ok,
     read_request,
@@ -32,6 +33,8 @@
 )
 
 SERVED, REFUSED, FAILED = frames.SERVED, frames.REJECTED, frames.FAILED
+MAX_PART_BYTES = 240_000  # of an object's part, by the protocol
+MAX_FRAME_BODY_BYTES = frames.MAX_FRAME_BYTES - 7  # of a response without fields
 GOOD = response(200, b"bytes", ETag="t1", X_Born_Ms="1")
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
 
@@ -151,6 +154,58 @@
     assert client.read_response()[0] == SERVED and store.requests == 1
 
 
+# Guards against a store's response that is passed on in a frame over the protocol's limit: its client could
+# read nothing behind that frame, and lost all other requests of the connection.
+@pytest.mark.parametrize(
+    ("status", "framing", "size"),
+    [
+        (200, "sized", MAX_PART_BYTES + 1),
+        (200, "sized", MAX_FRAME_BODY_BYTES),
+        (200, "sized", MAX_FRAME_BODY_BYTES + 1),
+        (200, "chunked", MAX_PART_BYTES + 1),
+        (200, "chunked", MAX_FRAME_BODY_BYTES + 1),
+        (200, "to the end", MAX_FRAME_BODY_BYTES + 1),
+        (404, "sized", MAX_FRAME_BODY_BYTES + 1),
+        (500, "chunked", MAX_FRAME_BODY_BYTES + 1),
+    ],
+)
+def test_a_response_over_the_limit_of_a_part_ends_only_its_own_request(
+    platforms: list[Platform], tmp_path: Path, status: int, framing: str, size: int
+) -> None:
+    released = threading.Event()
+
+    def reply(request: ReceivedRequest) -> bytes:
+        if request.path.endswith("/3"):
+            return framed(status, framing, bytes(size))
+        assert released.wait(5)
+        return response(200, bytes(MAX_PART_BYTES), ETag="t1", X_Born_Ms="1")
+
+    _, client = start_with_store(platforms, tmp_path, HttpStandIn(reply))
+    streams = [client.send_request(op="segment", row=1, nth=part) for part in range(6)]
+    received: dict[int, tuple[int, int]] = {}
+    while len(received) < len(streams):
+        frame = client.read_frame()
+        assert frame is not None and len(frame[2]) + 5 <= frames.MAX_FRAME_BYTES
+        received[frame[1]] = frame[2][0], len(frame[2])
+        released.set()  # the malformed response comes first
+    assert received.pop(streams[3])[0] in (REFUSED, FAILED)
+    assert set(received.values()) == {(SERVED, MAX_PART_BYTES + 2)}
+
+
+def framed(status: int, framing: str, body: bytes) -> bytes:
+    """A response whose length is told in one of the ways of HTTP/1.1."""
+    if framing == "sized":
+        return response(status, body, ETag="t1", X_Born_Ms="1")
+    head = f"HTTP/1.1 {status} X\r\nETag: t1\r\nX-Born-Ms: 1\r\n"
+    if framing == "chunked":
+        return b"%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n" % (
+            head.encode(),
+            len(body),
+            body,
+        )
+    return head.encode() + b"Connection: close\r\n\r\n" + body
+
+
 @pytest.mark.timing("both responses arrive within 2 s")
 @pytest.mark.parametrize(
     ("malformed", "endless"),
--- a/tests/wire/test_frames.py
+++ b/tests/wire/test_frames.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -135,6 +136,40 @@
     assert b"".join(frames.encode_error("no", 7)) == b"\0\0\0\x11\x42\0\0\0\x07\x45\x01\x05error\0\x02no"
 
 
+# Guards against a frame that its receiver can't read, nor find where the next one begins.
+@pytest.mark.parametrize(
+    ("response", "longest"),
+    [
+        (Response(ResponseKind.SERVED), frames.MAX_FRAME_BYTES - 5 - 2),
+        (Response(ResponseKind.SERVED, not_modified=True), frames.MAX_FRAME_BYTES - 5 - 2 - 9),
+    ],
+)
+def test_a_response_over_the_limit_of_a_frame_is_not_encoded(response: Response, longest: int) -> None:
+    encoded = b"".join(frames.encode_response(7, replace(response, body=bytes(longest))))
+    assert int.from_bytes(encoded[:4], "big") == len(encoded) - 4 == frames.MAX_FRAME_BYTES
+    with pytest.raises(frames.EncodeError):
+        frames.encode_response(7, replace(response, body=bytes(longest + 1)))
+
+
+@pytest.mark.parametrize(
+    ("fits", "too_long"),
+    [
+        ({str(n): "" for n in range(255)}, {str(n): "" for n in range(256)}),
+        ({"n" * 255: ""}, {"n" * 256: ""}),
+        ({"name": "\N{EURO SIGN}" * 21_845}, {"name": "\N{EURO SIGN}" * 21_846}),  # 3 bytes each
+    ],
+    ids=["count", "name", "value"],
+)
+def test_fields_whose_sizes_do_not_fit_are_not_encoded(
+    fits: dict[str, str], too_long: dict[str, str]
+) -> None:
+    assert frames.decode_fields(memoryview(frames.encode_fields(fits))) == (fits, b"")
+    with pytest.raises(frames.EncodeError):
+        frames.encode_fields(too_long)
+    with pytest.raises(frames.EncodeError):
+        frames.encode_error("x" * 65_536)
+
+
 def test_numbers_of_the_kinds_of_frames() -> None:
     kinds = (
         frames.REQUEST,
