Carry out each effect of an event, even behind one that fails

An effect that fails left those behind it undone, among them responses of other requests, while the state counted them as sent. Cause: EffectRunner had one try around the reducer and all effects of its event. Evidence: test_an_effect_that_fails_does_not_stop_the_others_of_its_event failed before: the second of two responses was not sent. Fix: a try for each effect, logged under its own name; the state is as the reducer left it, so what it asked for is done as far as it can be.

--- a/hallproxy/run/effect_runner.py
+++ b/hallproxy/run/effect_runner.py
@@ -85,17 +85,22 @@
         self._dispatching = True
         try:
             while self._events:
-                event = self._events.popleft()
-                try:
-                    for effect in reduce(self.state, event):
-                        self._perform(effect)
-                except Exception as error:  # noqa: BLE001 - one event that fails must not stop the others
-                    where = traceback.extract_tb(error.__traceback__)[-1]
-                    what = f"{type(error).__name__}: {error} ({where.name}, line {where.lineno})"
-                    log_line(f"fault on {type(event).__name__}: {what}")
+                self._reduce(self._events.popleft())
         finally:
             self._dispatching = False
 
+    def _reduce(self, event: Event) -> None:
+        try:
+            effects = reduce(self.state, event)
+        except Exception as error:  # noqa: BLE001 - one event that fails must not stop the others
+            _log_fault(event, error)
+            return
+        for effect in effects:
+            try:
+                self._perform(effect)
+            except Exception as error:  # noqa: BLE001 - nor one effect the others of its event
+                _log_fault(effect, error)
+
     def _perform(self, effect: Effect) -> None:
         match effect:
             case SendRequest():
@@ -128,3 +133,9 @@
             asyncio.get_running_loop().call_soon(self._dispatch_after, event, turns - 1)
         else:
             self.dispatch(event)
+
+
+def _log_fault(subject: Event | Effect, error: Exception) -> None:
+    where = traceback.extract_tb(error.__traceback__)[-1]
+    what = f"{type(error).__name__}: {error} ({where.name}, line {where.lineno})"
+    log_line(f"fault on {type(subject).__name__}: {what}")
--- a/tests/run/test_downstream_connection.py
+++ b/tests/run/test_downstream_connection.py
@@ -9,9 +9,11 @@
 import pytest
 
 from hallproxy.decisions import Router
+from hallproxy.run import effect_runner
 from hallproxy.run.downstream_connections import DownstreamConnections
 from hallproxy.run.effect_runner import EffectRunner
-from hallproxy.state.events import Event, RequestReceived, Response, ResponseKind
+from hallproxy.state.effects import Effect, SendResponse
+from hallproxy.state.events import Event, RequestReceived, Response, ResponseKind, WatchCaughtUp
 from hallproxy.state.model import GatewayState
 from hallproxy.wire import frames
 from hallproxy.wire.simulator_settings import settings_from_json
@@ -61,3 +63,20 @@
     failed = b"".join(frames.encode_response(1, Response(ResponseKind.FAILED)))
     assert asyncio.run(run()) == [failed + b"".join(frames.encode_response(2, SERVED))]
     assert "response on stream 1 is not sent" in capsys.readouterr().err
+
+
+def test_an_effect_that_fails_does_not_stop_the_others_of_its_event(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against one response that can't be sent, behind which others that end with it are never sent.
+    def respond_twice(_state: GatewayState, _event: Event) -> list[Effect]:
+        return [SendResponse(1, TOO_LONG), SendResponse(2, SERVED)]
+
+    monkeypatch.setattr(effect_runner, "reduce", respond_twice)
+    runner = new_runner()
+    answered: list[Response] = []
+
+    def fail(_response: Response) -> None:
+        raise frames.EncodeError("too long")
+
+    assert (runner.register_downstream(fail), runner.register_downstream(answered.append)) == (1, 2)
+    runner.dispatch(WatchCaughtUp(runner.now()))
+    assert answered == [SERVED]
