Rest own copies once a missed purge counts as notified, not 5 s after the last page

Cause: one time for all failures. Own copies rested 5 s after the last page, with the 7 s in mind after which any purge counts as notified; the pages have 2 s after a break, 2 s after the end of a poll's wait, and the moment at which the gateway polls again after an unanswered poll. The follower saw all of these and reported none. Fix: state/change_log_watch.py alone says from when a change that was not received may count as notified; own copies, those that stand in on errors, and known absences ask it. The follower reports each poll and how each connection ended. The poll after an unanswered one does not wait, so that its answer ends the doubt. Measured: tests/run, state, relay, repository, lab and feed pass without the timed ones.

--- a/hallproxy/lab/capacity/program.py
+++ b/hallproxy/lab/capacity/program.py
@@ -5,7 +5,7 @@
 from hallproxy.lab.capacity.size import SIZE
 from hallproxy.run import change_log_poller, limits
 from hallproxy.run.config import Config
-from hallproxy.state import caching
+from hallproxy.state import change_log_watch
 from hallproxy.wire.changelog import encode_poll
 
 SECOND = 1_000_000_000  # ns
@@ -24,7 +24,7 @@
 """s that a relay waits for more events before it publishes a page (the default of its `gather_ms`)."""
 OPEN_TIME = 0.1
 """s that a request is assumed to be open, as the operators gave no figure; results are stated per 0.1 s."""
-STALE_WATCH_TIME = caching.STALE_WATCH_AFTER / SECOND
+STALE_WATCH_TIME = change_log_watch.MAX_SILENCE / SECOND
 """s without an update from the change log after which a gateway stops using its own copies."""
 POLL_BYTES = len(encode_poll(10**9, change_log_poller.POLL_WAIT, "10.100.100.100:4222"))
 """Bytes of a poll request from sequence number one billion."""
--- a/hallproxy/run/change_log_follower.py
+++ b/hallproxy/run/change_log_follower.py
@@ -12,6 +12,7 @@
 from hallproxy.run.log import log_line
 from hallproxy.run.poll_connection import PollConnection, RawResponse
 from hallproxy.run.sockets import Stream
+from hallproxy.state.events import WatchFailure
 from hallproxy.wire.changelog import MAX_WAIT_MS, ChangeLogError, decode_page, decompress
 from hallproxy.wire.http1 import Head
 
@@ -67,6 +68,7 @@
         self._trial: asyncio.Task[None] | None = None
         self._first_response = asyncio.Event()
         self._logged_stale = False  # that the current source is stale
+        self._poll_unanswered = False  # since the last page was applied
 
     @abstractmethod
     def now(self) -> int:
@@ -76,6 +78,12 @@
     def apply(self, response: PollResponse) -> None:
         """Apply the page and set ``since``; ChangeLogError where it is invalid."""
 
+    def poll_sent(self, at: int, wait: int) -> None:  # noqa: B027 - a subclass may need neither
+        """Called ahead of each poll, at ``at`` (Unix ns); the source may hold it for ``wait`` ms."""
+
+    def connection_failed(self, failure: WatchFailure) -> None:  # noqa: B027
+        """Called when a connection has ended, however it did."""
+
     def read(self, body: bytes) -> dict[str, Any]:
         """Decode the page in a body; ChangeLogError where it is invalid."""
         return decode_page(body)
@@ -129,6 +137,9 @@
             if self._connection is not None:
                 address = self._connection.source
                 self._connection.close()
+        failure = self._connection.failure if self._connection is not None else WatchFailure.DISCONNECTED
+        self._poll_unanswered |= failure is not WatchFailure.DISCONNECTED
+        self.connection_failed(failure)
         # A poll that failed is retried at once, as its events count as notified by then; the minimum interval
         # is for a log that closes or refuses connections.
         if sources is self._sources:
@@ -141,12 +152,11 @@
         connection = self._connection
         assert connection is not None
         self._try_preferred(sources, connection)
-        # The first poll does not wait. With alternatives, neither does the first one on each connection, so
-        # that a source that accepts connections without responding is abandoned sooner.
-        may_wait = self._first_response.is_set() and not (connection.fresh and self.has_alternatives)
+        wait = min(self._wait, MAX_WAIT_MS) if self._may_wait(connection) else 0
         connection.fresh = False
+        self.poll_sent(self.now(), wait)
         try:
-            raw = await self._request(connection, min(self._wait, MAX_WAIT_MS) if may_wait else 0)
+            raw = await self._request(connection, wait)
         except Exception:
             if connection is not self._connection and sources is self._sources:
                 return True  # another connection has replaced it and closed it
@@ -161,19 +171,41 @@
                     f"change log: {connection.source[0]}:{connection.source[1]} responded 503: not current"
                 )
             self._logged_stale = True
+            connection.declined()
             return False
         self._apply(sources, raw)
+        connection.applied()
         return raw.head.keep_alive
 
+    def _may_wait(self, connection: PollConnection) -> bool:
+        """Whether the next poll may be held.
+
+        The first poll is not, nor the one after an unanswered poll: its events count as notified already.
+        With alternatives, neither is the first one on each connection, so that a source that accepts
+        connections without responding is abandoned sooner.
+        """
+        if self._poll_unanswered or not self._first_response.is_set():
+            return False
+        return not (connection.fresh and self.has_alternatives)
+
     async def _request(self, connection: PollConnection, wait: int) -> RawResponse:
         polled_at = self.now()
         connection.send_poll(self.since, wait, self._compressed)
-        short = self._has_alternative(connection.source)
-        first_timeout = SHORT_FIRST_TIMEOUT if short else CONNECT_TIMEOUT
-        timeout = wait / 1000 + self._response_timeout if wait else first_timeout
+        timeout = self._timeout(connection.source, wait)
         head, body = await asyncio.wait_for(connection.read_response(self.max_page_bytes), timeout)
         return RawResponse(polled_at, connection.source, head, body)
 
+    def _timeout(self, address: Address, wait: int) -> float:
+        """Seconds in which a poll that may be held for ``wait`` ms must be answered."""
+        if wait:
+            return wait / 1000 + self._response_timeout
+        if self._has_alternative(address):
+            return SHORT_FIRST_TIMEOUT
+        if self.has_alternatives or not self._first_response.is_set():
+            return CONNECT_TIMEOUT
+        # The only source, which may be slow: a poll that does not wait has as much time as one that does.
+        return self._wait / 1000 + self._response_timeout
+
     def _has_alternative(self, address: Address) -> bool:
         return self.has_alternatives and self._sources.has_alternative(address)
 
@@ -191,6 +223,7 @@
             raise
         sources.record_success(raw.source, self.now())
         self._first_response.set()
+        self._poll_unanswered = False
         self._logged_stale = False
 
     def _decode(self, raw: RawResponse) -> bytes:
@@ -241,6 +274,7 @@
         except ChangeLogError:
             self._gap = gap  # this was no second poll of the source that is followed
             raise
+        candidate.applied()
         self._connection = candidate
         if replaced is not None:
             replaced.close()
--- a/hallproxy/run/change_log_poller.py
+++ b/hallproxy/run/change_log_poller.py
@@ -10,7 +10,8 @@
 from hallproxy.run.config import Address
 from hallproxy.run.effect_runner import EffectRunner
 from hallproxy.run.log import log_line
-from hallproxy.state.events import WatchCaughtUp
+from hallproxy.state.events import WatchCaughtUp, WatchFailed, WatchFailure, WatchPolled
+from hallproxy.state.units import MS
 from hallproxy.wire.changelog import ChangeLogError, decode_age, decode_events, snapshot_start
 
 POLL_WAIT = 1_000  # ms that a poll is held; short, so that a log that has stopped is detected
@@ -80,6 +81,18 @@
         # The response may have been generated as early as when the poll was sent.
         self._runner.dispatch(WatchCaughtUp(response.polled_at - age_ns))
 
+    def poll_sent(self, at: int, wait: int) -> None:
+        """Dispatch that the change log is polled."""
+        self._runner.dispatch(WatchPolled(at, wait * MS))
+
+    def connection_failed(self, failure: WatchFailure) -> None:
+        """Dispatch that the change log is not heard any more."""
+        failed_at = self.now()
+        if self._compressed:
+            # A relay: the change log may have failed at any time since it was last heard.
+            failed_at = min(failed_at, self._runner.state.watch.caught_up_at)
+        self._runner.dispatch(WatchFailed(failed_at, failure))
+
     def _dispatch_events(self, page: dict[str, Any], allow_gaps: bool, live: bool = True) -> None:
         """Dispatch the new events, each entirely or not at all; those of a snapshot page all or none."""
         state = self._runner.state
--- a/hallproxy/state/caching.py
+++ b/hallproxy/state/caching.py
@@ -9,11 +9,10 @@
 from hallproxy.state.in_flight import Attempt, InFlightRequest
 from hallproxy.state.local_cache import CacheKey, LocalCacheEntry
 from hallproxy.state.model import GatewayState
-from hallproxy.state.units import MS, SECOND
+from hallproxy.state.units import MS
 
 AGE_MARGIN = 50 * MS  # an entry counts as stale this long before its freshness lifetime ends
 NOT_MODIFIED_DIVISOR = 20  # a "not modified" response counts as the body's bytes divided by this
-STALE_WATCH_AFTER = 5 * SECOND  # change log silence; a purge counts as notified after 7 s, received or not
 
 
 def cached_response(
@@ -29,7 +28,7 @@
     ``on_error``: the alternative is an error, so a stale entry is served within its grace, but never one
     generated before a purge.
     """
-    if is_watch_stale(state):
+    if state.watch.may_have_missed_changes(state.now):
         # Endpoints carry out purges on their own; an entry here would outlive a purge that was missed.
         return None
     entry = _usable_entry(state, request, on_error)
@@ -81,16 +80,9 @@
     return CacheKey(request.class_index, request.object, request.part)
 
 
-def is_watch_stale(state: GatewayState) -> bool:
-    """Whether the change log has been silent for so long that a purge may have been missed."""
-    if not state.watch_caught_up_at:
-        return False
-    return state.now - state.watch_caught_up_at > STALE_WATCH_AFTER
-
-
 def is_known_not_found(state: GatewayState, request: ClientRequest) -> bool:
     """Whether the sources recently reported the requested part as not found."""
-    if request.digest or is_watch_stale(state):
+    if request.digest or state.watch.may_have_missed_changes(state.now):
         return False
     return state.negative_cache.contains(_cache_key(request), state.now)
 
--- a/hallproxy/state/events.py
+++ b/hallproxy/state/events.py
@@ -208,6 +208,30 @@
     at: int
 
 
+@dataclass(slots=True, frozen=True)
+class WatchPolled:
+    """The change log was polled; it may hold the poll for ``wait`` ns."""
+
+    at: int
+    wait: int
+
+
+class WatchFailure(Enum):
+    """How the connection to the change log failed."""
+
+    DISCONNECTED = "disconnected"  # between two polls, or before the first one
+    UNANSWERED = "unanswered"  # a poll was sent, and nothing of its response was received
+    CUT_OFF = "cut off"  # a response was received in part, or could not be used
+
+
+@dataclass(slots=True, frozen=True)
+class WatchFailed:
+    """Changes that the change log has had since ``at`` may not have been received."""
+
+    at: int
+    failure: WatchFailure
+
+
 @dataclass(slots=True, frozen=True)
 class PurgeNotified:
     """An object, or with object 0 its whole group, was purged at ``purged_at`` (ns).
@@ -318,6 +342,8 @@
     | EndpointListUpdated
     | PurgeNotified
     | WatchCaughtUp
+    | WatchPolled
+    | WatchFailed
     | TimerEvent
     | ContractsUpdated
     | EventLoopLagged
--- a/hallproxy/state/model.py
+++ b/hallproxy/state/model.py
@@ -8,6 +8,7 @@
 from hallproxy import interface as i
 from hallproxy.broker.broker import Broker
 from hallproxy.decisions import Router
+from hallproxy.state.change_log_watch import ChangeLogWatch
 from hallproxy.state.effects import Effect
 from hallproxy.state.endpoints import EndpointList
 from hallproxy.state.events import ClientRequest
@@ -31,7 +32,7 @@
         local_cache: responses that are served without asking an endpoint.
         uplink: estimates when a response from the local cache will be sent.
         served_locally: responses from the local cache so far.
-        watch_caught_up_at: when all changes of the change log were last applied; 0: there is no change log.
+        watch: since when changes of the change log may have been missed.
         negative_cache: what the sources recently reported as not found.
         serves_stale: whether stale entries stay in the local cache for their class's grace, to be revalidated
             and to be served on errors.
@@ -62,7 +63,7 @@
     local_cache: LocalCache = field(default_factory=LocalCache)
     uplink: Uplink = field(default_factory=Uplink)
     served_locally: int = 0
-    watch_caught_up_at: int = 0
+    watch: ChangeLogWatch = field(default_factory=ChangeLogWatch)
     negative_cache: NegativeCache = field(default_factory=NegativeCache)
     serves_stale: bool = False
     strict_purges: bool = False
--- a/hallproxy/state/reducer.py
+++ b/hallproxy/state/reducer.py
@@ -33,6 +33,8 @@
     RouterTimerDue,
     ShutdownStarted,
     WatchCaughtUp,
+    WatchFailed,
+    WatchPolled,
 )
 from hallproxy.state.model import GatewayState
 
@@ -89,7 +91,15 @@
 
 
 def _watch_caught_up(state: GatewayState, event: WatchCaughtUp) -> None:
-    state.watch_caught_up_at = max(state.watch_caught_up_at, event.at)
+    state.watch.caught_up(event.at)
+
+
+def _watch_polled(state: GatewayState, event: WatchPolled) -> None:
+    state.watch.polled(event.at, event.wait, state.settings.purge_grace)
+
+
+def _watch_failed(state: GatewayState, event: WatchFailed) -> None:
+    state.watch.failed(event.at, event.failure)
 
 
 def _event_loop_lagged(state: GatewayState, event: EventLoopLagged) -> None:
@@ -133,6 +143,8 @@
     EndpointListUpdated: _endpoint_list_updated,
     PurgeNotified: _purge_notified,
     WatchCaughtUp: _watch_caught_up,
+    WatchPolled: _watch_polled,
+    WatchFailed: _watch_failed,
     ContractsUpdated: admission.update_contracts,
     EventLoopLagged: _event_loop_lagged,
     Reconfigured: _reconfigured,
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -72,10 +72,14 @@
         finally:
             connection.close()
 
-    def close(self) -> None:
+    def stop_listening(self) -> None:
+        """Refuse new connections; open ones stay."""
         # shutdown wakes the blocked accept; close alone would leave the port open until accept returns
         self._sock.shutdown(socket.SHUT_RDWR)
         self._sock.close()
+
+    def close(self) -> None:
+        self.stop_listening()
         for connection in self.connections:
             try:
                 connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
