--- a/tests/run/test_missed_purges.py
+++ b/tests/run/test_missed_purges.py
@@ -79,12 +79,16 @@
 
 @dataclass
 class Copies:
-    """What every store has."""
+    """What every store has. ``former`` is a copy that a store still uses where its age is allowed."""
 
     tag: bytes
     born_ms: int
+    former: Copies | None = None
 
-    def reply(self, _request: ReceivedRequest) -> bytes:
+    def reply(self, request: ReceivedRequest) -> bytes:
+        max_age_ms = int(request.fields.get("x-max-age-ms", "0"))
+        if self.former and (not max_age_ms or request.at_ms - self.former.born_ms <= max_age_ms):
+            return self.former.reply(request)
         return response(200, self.tag, ETag=self.tag.decode(), X_Born_Ms=str(self.born_ms))
 
 
@@ -159,6 +163,22 @@
     assert {body for sent_ms, body in received if sent_ms > notified_at + GRACE_MS} == {b"new"}
 
 
+def test_no_old_copy_of_a_store_is_used_once_a_purge_that_was_cut_off_counts_as_notified(
+    start_platform: Callable[..., Platform],
+) -> None:
+    # Guards against requests without an age limit to stores that have not executed a missed purge yet.
+    platform, client, copies = start_with_own_copies(start_platform)
+    failing = FailingLog(platform.log, "cut off amid an event")
+    failing.install()
+    copies.former = Copies(copies.tag, copies.born_ms)
+    purge(platform, copies)
+    until(lambda: failing.polled_at_ms)
+    platform.log._http.listener.stop_listening()
+    received = observe(client, OBSERVED_S)
+    notified_at = failing.notified_at_ms()
+    assert {body for sent_ms, body in received if sent_ms > notified_at + GRACE_MS} == {b"new"}
+
+
 def test_no_own_copy_is_served_while_a_new_change_log_is_not_heard(
     start_platform: Callable[..., Platform],
 ) -> None:
--- a/tests/state/test_change_log_watch.py
+++ b/tests/state/test_change_log_watch.py
@@ -4,8 +4,10 @@
 
 import pytest
 
+from hallproxy.interface import AttemptStatus
 from hallproxy.state import events
 from hallproxy.state.change_log_watch import ChangeLogWatch
+from hallproxy.state.effects import OpenConnection, SendRequest, UpstreamRequest
 from hallproxy.state.events import ResponseKind, WatchFailure
 from hallproxy.state.local_cache import CacheKey, LocalCacheEntry
 from tests.support.reducer import MS, SECOND, START, ReducerHarness, response_kinds
@@ -109,3 +111,51 @@
     assert ResponseKind.SERVED not in response_kinds(ended) and len(response_kinds(ended)) == 2
     harness.dispatch(events.WatchCaughtUp(harness.now))
     assert response_kinds(harness.request(5, 1, class_index=0)) == [ResponseKind.SERVED]
+
+
+def sent_request(harness: ReducerHarness, downstream: int) -> UpstreamRequest:
+    """What is sent to the store for a request of an object."""
+    effects = harness.request(downstream, object_id=7)
+    connection = next((e.connection for e in effects if isinstance(e, OpenConnection)), None)
+    if connection is not None:
+        effects = harness.dispatch(events.ConnectionOpened(harness.now, connection))
+    sent = next(e for e in effects if isinstance(e, SendRequest))
+    result = events.AttemptResult(AttemptStatus.OK, b"x")
+    harness.dispatch(events.ResponseReceived(harness.now, sent.connection, result, True))
+    return sent.request
+
+
+def test_stores_are_asked_for_younger_copies_while_a_purge_that_was_cut_off_binds() -> None:
+    # Guards against a store's copy from before a missed purge, which the store executes in its own time.
+    harness = ReducerHarness()
+    duration = harness.state.settings.purge_duration
+    harness.dispatch(events.WatchCaughtUp(START))
+    cut_off_at = START + 100 * MS
+    harness.dispatch(events.WatchFailed(cut_off_at, WatchFailure.CUT_OFF))
+    harness.now = cut_off_at + 2 * SECOND
+    assert sent_request(harness, 1).max_age == 0  # it does not count as notified yet
+    for downstream, elapsed in ((2, 2 * SECOND + MS), (3, duration - MS)):
+        harness.now = cut_off_at + elapsed
+        sent = sent_request(harness, downstream)
+        assert 0 < sent.max_age < elapsed and not sent.join and not sent.revalidate
+    harness.now = cut_off_at + duration
+    assert sent_request(harness, 4).max_age == 0  # every store has executed it
+
+
+@pytest.mark.parametrize("failure", [WatchFailure.DISCONNECTED, WatchFailure.UNANSWERED])
+def test_copies_of_stores_have_no_age_limit_if_nothing_was_cut_off(failure: WatchFailure) -> None:
+    # A limit on all copies makes every request a fill: only for a purge that is known to exist.
+    harness = ReducerHarness()
+    harness.dispatch(events.WatchCaughtUp(START))
+    harness.dispatch(events.WatchFailed(START + 100 * MS, failure))
+    harness.now = START + 3 * SECOND
+    assert sent_request(harness, 1).max_age == 0
+
+
+def test_the_age_limit_ends_with_the_next_page() -> None:
+    harness = ReducerHarness()
+    harness.dispatch(events.WatchCaughtUp(START))
+    harness.dispatch(events.WatchFailed(START + 100 * MS, WatchFailure.CUT_OFF))
+    harness.now = START + 3 * SECOND
+    harness.dispatch(events.WatchCaughtUp(harness.now))
+    assert sent_request(harness, 1).max_age == 0
