Answer a request that is too long on its own stream; requests behind it were dropped

A frame of 65,537 to 262,144 bytes, which the protocol allows, got an error on stream 0, and requests behind it got no response. Cause: the decoder of frames had the limit of a request in place of the limit of a frame, so that a long request counted as bytes in which no further frame can be found. Fix: the decoder has the protocol's limit.

--- a/hallproxy/run/downstream_connection.py
+++ b/hallproxy/run/downstream_connection.py
@@ -9,7 +9,7 @@
 
 from hallproxy.run.byte_budget import ByteBudget
 from hallproxy.run.effect_runner import EffectRunner
-from hallproxy.run.frame_reader import FrameReader, ReceivedFrame, RejectedFrame
+from hallproxy.run.frame_reader import DroppedFrame, DropReason, FrameReader, ReceivedFrame
 from hallproxy.run.log import log_line
 from hallproxy.run.platform_teams import PlatformTeams
 from hallproxy.run.response_writer import ResponseWriter, UnsentLimit
@@ -34,6 +34,7 @@
 MAX_LINGER_BYTES = 262_144  # ...or until this many bytes
 UNSENT_POLL_INTERVAL = 0.02  # s between checks whether the last bytes have been sent
 MAX_UNSENT_WAIT = 3.0  # s for which a client that reads nothing can delay the close of its connection
+TOO_LONG = f"a frame of more than {frames.MAX_REQUEST_FRAME_BYTES} bytes"
 # In place of a response for which a client that reads slowly leaves no memory.
 UNSENT_LIMIT_REACHED = Response(ResponseKind.FAILED, reason=FailureReason.BUSY)
 # In place of a response that no frame can carry. The request has run.
@@ -200,15 +201,21 @@
         try:
             while (frame := self._reader.next_frame()) is not None:
                 self.has_requested = True
-                if isinstance(frame, RejectedFrame):
-                    self._check_new(frame.stream)
-                    self._writer.write(frames.encode_response(frame.stream, BUSY))
+                if isinstance(frame, DroppedFrame):
+                    self._answer_dropped(frame)
                 elif not self._is_queued(frame):
                     self._owner.request_budget.release(frame.reserved)
         finally:
             decoded = self._reader.discard_decoded()
         return decoded
 
+    def _answer_dropped(self, frame: DroppedFrame) -> None:
+        self._check_new(frame.stream)
+        if frame.reason is DropReason.TOO_LONG:
+            self._reject_request(frames.encode_error(TOO_LONG, frame.stream))
+        else:
+            self._writer.write(frames.encode_response(frame.stream, BUSY))
+
     def _is_queued(self, frame: ReceivedFrame) -> bool:
         """Handle the frame; returns whether it is in the queue now, with its memory."""
         try:
--- a/hallproxy/run/frame_reader.py
+++ b/hallproxy/run/frame_reader.py
@@ -6,6 +6,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from enum import Enum
 from typing import NamedTuple
 
 from hallproxy.run.byte_budget import ByteBudget
@@ -28,15 +29,23 @@
     waited: float  # s; the longest that it can have been unread, as there was no memory
 
 
-class RejectedFrame(NamedTuple):
-    """A request's frame that was dropped as it arrived, as there was no memory for it in time."""
+class DropReason(Enum):
+    """Why a request's frame is dropped as it arrives."""
+
+    NO_MEMORY = "no memory"  # in time
+    TOO_LONG = "too long"
+
+
+class DroppedFrame(NamedTuple):
+    """A request's frame that was dropped as it arrived."""
 
     stream: int
+    reason: DropReason = DropReason.NO_MEMORY
 
 
 @dataclass(slots=True)
 class _Drop:
-    stream: int
+    frame: DroppedFrame
     remaining: int  # bytes
 
 
@@ -44,7 +53,8 @@
     """Reads frames, each within bytes that are reserved in ``budget`` as soon as its size is known.
 
     Without free bytes the reader waits and the rest stays unread, which stalls the client. Frames that would
-    have to wait longer than ``max_wait`` (s) in all are dropped as they arrive, so that each is answered.
+    have to wait longer than ``max_wait`` (s) in all are dropped as they arrive, so that each is answered, and
+    so are those that are longer than a request may be.
 
     A client that was stalled may still be sending when the socket is empty, with its next requests behind the
     frame that has begun. They have waited as long, until all is read. ``max_open``: requests that a client
@@ -95,7 +105,7 @@
             self._read_at.clear()
         return size
 
-    def next_frame(self) -> ReceivedFrame | RejectedFrame | None:
+    def next_frame(self) -> ReceivedFrame | DroppedFrame | None:
         """The next frame; None if more bytes or memory are needed. FrameError for an invalid one."""
         self.missing = self._needed = 0
         if self._drop is not None:
@@ -107,6 +117,8 @@
         if header is None:
             self.missing = frames.HEAD.size - available
             return None
+        if header.is_too_long_request:
+            return self._start_drop(header, DropReason.TOO_LONG)
         if self._may_hold(header):
             if available >= header.size:
                 return self._complete(header)
@@ -115,8 +127,7 @@
         if self._wait_left() > 0:
             self._needed = header.size
             return None
-        self._drop = _Drop(header.stream, header.size)
-        return self._drop_available(self._drop)
+        return self._start_drop(header, DropReason.NO_MEMORY)
 
     def _may_hold(self, header: frames.FrameHeader) -> bool:
         """Whether the frame has its memory; frames other than requests have no payload and need none."""
@@ -156,7 +167,11 @@
         if len(self._read_at) == self._max_open:
             self._waiting_since = max(self._waiting_since, self._read_at.popleft())
 
-    def _drop_available(self, drop: _Drop) -> RejectedFrame | None:
+    def _start_drop(self, header: frames.FrameHeader, reason: DropReason) -> DroppedFrame | None:
+        self._drop = _Drop(DroppedFrame(header.stream, reason), header.size)
+        return self._drop_available(self._drop)
+
+    def _drop_available(self, drop: _Drop) -> DroppedFrame | None:
         size = min(drop.remaining, self._buffer.filled - self._offset)
         self._offset += size
         drop.remaining -= size
@@ -165,7 +180,7 @@
             return None
         self._drop = None
         self._count_request()
-        return RejectedFrame(drop.stream)
+        return drop.frame
 
     def discard_decoded(self) -> int:
         """Remove the decoded bytes from the buffer; returns their number."""
--- a/hallproxy/wire/frames.py
+++ b/hallproxy/wire/frames.py
@@ -15,7 +15,7 @@
 _VALUE_SIZE = struct.Struct(">H")
 # As in the length field, which does not count itself.
 MIN_FRAME_BYTES, MAX_FRAME_BYTES = 5, 262_144
-MAX_REQUEST_FRAME_BYTES = 65_536  # a client's frame: its body and the largest useful fields
+MAX_REQUEST_FRAME_BYTES = 65_536  # of a request: its body and the largest useful fields; a longer one fails
 MAX_BODY_BYTES = 48_000  # of a client's frame
 MAX_FIELDS = 255  # of one frame, as counted in one byte
 MAX_FIELD_NAME_BYTES = 255
@@ -52,6 +52,11 @@
     kind: int
     stream: int
 
+    @property
+    def is_too_long_request(self) -> bool:
+        """Whether it is a request of more bytes than one may have."""
+        return self.kind == REQUEST and self.size > SIZE.size + MAX_REQUEST_FRAME_BYTES
+
 
 def decode_header(buffer: bytes | bytearray, start: int = 0, end: int | None = None) -> FrameHeader | None:
     """The header of the frame at ``start``; None while it is incomplete.
@@ -62,7 +67,7 @@
     if received < SIZE.size:
         return None
     (length,) = SIZE.unpack_from(buffer, start)
-    if not MIN_FRAME_BYTES <= length <= MAX_REQUEST_FRAME_BYTES:
+    if not MIN_FRAME_BYTES <= length <= MAX_FRAME_BYTES:
         raise FrameError(f"a frame of {length} bytes")
     if received < HEAD.size:
         return None
--- a/tests/run/test_frame_reader.py
+++ b/tests/run/test_frame_reader.py
@@ -8,7 +8,13 @@
 import pytest
 
 from hallproxy.run.byte_budget import ByteBudget
-from hallproxy.run.frame_reader import READ_AHEAD_BYTES, FrameReader, ReceivedFrame, RejectedFrame
+from hallproxy.run.frame_reader import (
+    READ_AHEAD_BYTES,
+    DroppedFrame,
+    DropReason,
+    FrameReader,
+    ReceivedFrame,
+)
 from hallproxy.run.sockets import Stream
 from hallproxy.wire import frames
 from tests.support.received_bytes import ReceivedBytes
@@ -22,7 +28,7 @@
     return b"".join(frames.encode_frame(kind, stream, bytes([stream]) * size))
 
 
-async def read(reader: FrameReader) -> list[ReceivedFrame | RejectedFrame]:
+async def read(reader: FrameReader) -> list[ReceivedFrame | DroppedFrame]:
     """The frames that are complete and have their memory."""
     received = []
     while True:
@@ -77,7 +83,7 @@
         reader, _ = start(budget, *frames_sent, max_wait=MAX_WAIT)
         assert await read(reader) == []
         await reader.wait()
-        assert await read(reader) == [RejectedFrame(1), RejectedFrame(2), RejectedFrame(3)]
+        assert await read(reader) == [DroppedFrame(1), DroppedFrame(2), DroppedFrame(3)]
         assert not reader.needs_memory and reader.missing == 0
 
     asyncio.run(run())
@@ -88,13 +94,13 @@
     async def run() -> None:
         budget, reader, stream = await start_stalled()
         stream.receive(encode(65, 2, 20_000)[:100])  # the system had no more of it yet
-        assert await read(reader) == [RejectedFrame(1)]
+        assert await read(reader) == [DroppedFrame(1)]
         stream.receive(encode(65, 2, 20_000)[100:] + encode(65, 3, 20_000) + encode(65, 4, 100)[:50])
-        assert await read(reader) == [RejectedFrame(2), RejectedFrame(3)]
+        assert await read(reader) == [DroppedFrame(2), DroppedFrame(3)]
         budget.release(LIMIT)
         stream.receive(encode(65, 4, 100)[50:] + encode(65, 5, 100))
         for frame in await read(reader):
-            assert isinstance(frame, RejectedFrame) or frame.waited >= MAX_WAIT
+            assert isinstance(frame, DroppedFrame) or frame.waited >= MAX_WAIT
 
     asyncio.run(run())
 
@@ -120,6 +126,20 @@
     asyncio.run(run())
 
 
+def test_a_request_that_is_too_long_is_dropped_as_it_arrives_and_the_next_one_read() -> None:
+    # Guards against one request that ends the connection of others, and against memory for what is dropped.
+    async def run() -> None:
+        budget = ByteBudget(lambda: LIMIT)
+        longest = frames.MAX_FRAME_BYTES - 5
+        reader, _ = start(budget, encode(65, 1, longest), encode(65, 2, 100))
+        dropped, received = await read(reader)
+        assert dropped == DroppedFrame(1, DropReason.TOO_LONG)
+        assert isinstance(received, ReceivedFrame) and received.stream == 2
+        assert budget.try_acquire(LIMIT - received.reserved)
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("kind", [frames.CANCEL, frames.READINESS_REQUEST])
 def test_frames_without_a_request_need_no_memory(kind: int) -> None:
     async def run() -> None:
--- a/tests/run/test_misbehaving_clients.py
+++ b/tests/run/test_misbehaving_clients.py
@@ -94,6 +94,19 @@
     assert_serving(platform)
 
 
+@pytest.mark.parametrize("length", [frames.MAX_REQUEST_FRAME_BYTES + 1, frames.MAX_FRAME_BYTES])
+def test_a_frame_that_is_longer_than_a_request_may_be_fails_alone(platform: Platform, length: int) -> None:
+    # Guards against a frame within the protocol's limit that ended its connection: requests sent behind it
+    # were dropped without a response.
+    client = platform.client()
+    before, behind = client.send_request(op="small", row=1), 3
+    client.send_frame(frames.REQUEST, 2, bytes(length - frames.MIN_FRAME_BYTES))
+    client._last = 2
+    assert client.send_request(op="small", row=2) == behind
+    received = {frame[1]: frame[2][0] for frame in (client.read_frame() for _ in range(3)) if frame}
+    assert received == {before: SERVED, 2: FAILED, behind: SERVED}
+
+
 def test_an_id_in_use_is_not_accepted_again(platform: Platform) -> None:
     platform.set_reply(lambda r: None if f"{7:016x}" in r.path else ok()(r))
     first, other = platform.client(), platform.client()
