--- a/hallproxy/run/frame_reader.py
+++ b/hallproxy/run/frame_reader.py
@@ -87,6 +87,9 @@
         """Wait for bytes to decode, or for the memory of the next frame, as long as it may wait."""
         if self._needed:
             return self._wait_for_memory()
+        if self._drop is not None:
+            # Without reserved memory: what is dropped must not take more than an idle connection does.
+            return self._buffer.fill(self._stream, MIN_READ_BYTES)
         return self._buffer.fill(self._stream, min(MAX_READ_BYTES, max(MIN_READ_BYTES, self.missing)))
 
     async def _wait_for_memory(self) -> None:
--- a/tests/run/test_memory.py
+++ b/tests/run/test_memory.py
@@ -35,6 +35,7 @@
 REQUESTS_PER_CONNECTION = 32  # the most that one connection may have open
 DEADLINE = 3.0  # s; the shortest of the stand-in settings
 LATE = 0.5  # s after its time at which a request counts as lost
+HUNDREDS = 400  # connections; with 1,024 descriptors a gateway has 409 at most
 QUIET_INTERVAL = 0.05  # s from one request of the quiet client to the next
 
 
@@ -211,6 +212,37 @@
     assert 0 < peak[0] < 32 * MB
 
 
+def send_unfinished(platform: Platform, start: bytes) -> None:
+    """Send the start of a frame, on a new connection whenever the gateway has closed the one before."""
+    for _ in range(2):
+        client = platform.client()
+        client.sock.sendall(start)
+        while client.read_frame() is not None:
+            pass
+        client.sock.close()
+
+
+# Guards against memory that frames take without being counted: those that wait for memory, and those that are
+# dropped as they arrive, on as many connections as the descriptors allow.
+@pytest.mark.parametrize("length", [frames.MAX_REQUEST_FRAME_BYTES, frames.MAX_FRAME_BYTES])
+def test_hundreds_of_unfinished_frames_stay_within_the_memory(
+    start_platform: Callable[..., Platform], length: int
+) -> None:
+    platform = start_platform(limits={"memory_mb": 32, "sockets": 1024})
+    until(lambda: len(platform.log.polls) >= 2)
+    quiet = QuietClient(platform)
+    half = frames.HEAD.pack(length, frames.REQUEST, 1) + bytes(length // 2)
+    with memory_watched(platform) as peak:
+        threads = [threading.Thread(target=send_unfinished, args=(platform, half)) for _ in range(HUNDREDS)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+    quiet.stop()
+    assert 0 < peak[0] < 32 * MB
+    assert [code for code, _ in quiet.responses] == [SERVED] * len(quiet.responses)
+
+
 @dataclass(eq=False)
 class UnreadConnection:
     unsent_bytes: int
