Limit the fields of an HTTP head to 100: thousands of short ones took 17 times the bytes

Cause: heads were bounded in bytes alone; decoded, one of 16 KB takes 280 KB, for as long as it is used. Evidence: test_heads_of_very_many_short_fields_take_memory_in_proportion_to_their_bytes failed before with 43.7 MB more for 200 clients, and test_a_head_has_a_limited_number_of_fields for requests and responses. Fix: a head of more than 100 fields is malformed, as in other HTTP servers. Measured: 8.6 MB more in the same test; tests/wire, repository and the tests of malformed input pass.

--- a/hallproxy/wire/http1.py
+++ b/hallproxy/wire/http1.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 MAX_HEAD_BYTES = 16_384
+MAX_HEAD_FIELDS = 100  # many short ones would take 17 times their bytes in memory
 MAX_BODY_BYTES = 64 * 1024 * 1024
 MAX_DELTA_SECONDS = 2**31  # s; in place of any larger number
 _STATUS = re.compile(rb"HTTP/1\.([01]) (\d{3})(?: [^\r\n]*)?\r\n")
@@ -118,7 +119,9 @@
 def _decode_headers(buffer: bytearray, offset: int, end: int) -> dict[str, str]:
     fields: dict[str, str] = {}
     repeated: dict[str, list[str]] = {}
-    while offset < end - 2:
+    for _ in range(MAX_HEAD_FIELDS):
+        if offset >= end - 2:
+            break
         field = _FIELD.match(buffer, offset, end)
         if field is None:
             raise HttpError("a header line that can't be read")
@@ -131,6 +134,8 @@
         else:
             fields[name] = value
         offset = field.end()
+    if offset < end - 2:
+        raise HttpError(f"a head of more than {MAX_HEAD_FIELDS} fields")
     for name, values in repeated.items():
         fields[name] = ", ".join(values)
     if "content-length" in fields and "transfer-encoding" in fields:
--- a/tests/repository/test_repository.py
+++ b/tests/repository/test_repository.py
@@ -18,7 +18,9 @@
 
 from hallproxy.repository import simple
 from hallproxy.run import contracts
+from hallproxy.wire.http1 import MAX_HEAD_BYTES
 from tests.support.gateway import ROOT, ChangeLog, ReceivedRequest, now_ms, response, until
+from tests.support.processes import anonymous_memory
 from tests.support.repository_front import (
     DEPLOY,
     PROJECT,
@@ -29,6 +31,8 @@
     sha256_hex,
 )
 
+HUNDREDS = 200  # connections
+
 
 @pytest.mark.parametrize("html", [False, True])
 def test_index_and_files_in_both_formats(front: Front, html: bool) -> None:
@@ -267,6 +271,25 @@
     assert got.startswith(b"HTTP/1.1 400 ")
 
 
+def test_heads_of_very_many_short_fields_take_memory_in_proportion_to_their_bytes(front: Front) -> None:
+    # Guards against hundreds of clients whose heads, decoded, stay in memory with their connections.
+    front.start()
+    assert front.get(f"/simple/{PROJECT}/").status == 200
+    fields = b"".join(b"%x:\r\n" % n for n in range(0x100, 0x100 + 2_500))
+    head = b"GET /nothing HTTP/1.1\r\nHost: x\r\n" + fields + b"\r\n"
+    assert len(head) <= MAX_HEAD_BYTES
+    before = anonymous_memory(front.program.process.pid)
+    clients = []
+    for _ in range(HUNDREDS):
+        clients.append(socket.create_connection(("127.0.0.1", front.program.port), timeout=10))
+        clients[-1].sendall(head)
+    for client in clients:
+        assert client.recv(12).startswith(b"HTTP/1.1 ")
+    assert anonymous_memory(front.program.process.pid) - before <= HUNDREDS * 4 * MAX_HEAD_BYTES
+    for client in clients:
+        client.close()
+
+
 @pytest.mark.timing("each answer comes within 0.7 s")
 @pytest.mark.parametrize(
     ("reply", "status"),
--- a/tests/run/test_memory.py
+++ b/tests/run/test_memory.py
@@ -28,6 +28,7 @@
 from hallproxy.state.units import MB
 from hallproxy.wire import frames
 from tests.support.gateway import Client, Platform, ReceivedRequest, platform_settings, response, until
+from tests.support.processes import anonymous_memory
 
 SERVED, REFUSED, FAILED = frames.SERVED, frames.REJECTED, frames.FAILED
 WRITE_BYTES = 48_000  # the most that one write carries
@@ -39,15 +40,6 @@
 QUIET_INTERVAL = 0.05  # s from one request of the quiet client to the next
 
 
-def anonymous_memory(pid: int) -> int:
-    """Bytes of the process's own pages; 0 once it has ended."""
-    try:
-        status = Path(f"/proc/{pid}/status").read_text()
-    except OSError:
-        return 0
-    return next((int(x.split()[1]) * 1024 for x in status.splitlines() if x.startswith("RssAnon")), 0)
-
-
 @contextmanager
 def memory_watched(platform: Platform) -> Iterator[list[int]]:
     """The highest memory in bytes, as the one element of a list."""
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -1,4 +1,4 @@
-"""Helpers for a running gateway: suspend it, reload it, count what it sends."""
+"""Helpers for a running gateway: suspend it, reload it, count what it sends, measure its memory."""
 
 from __future__ import annotations
 
@@ -53,3 +53,12 @@
 def reload_count(program: Program) -> int:
     """How many reloads the program has logged, successful or not."""
     return sum(line.startswith("configuration ") for line in program.lines)
+
+
+def anonymous_memory(pid: int) -> int:
+    """Bytes of the process's own pages; 0 once it has ended."""
+    try:
+        status = Path(f"/proc/{pid}/status").read_text()
+    except OSError:
+        return 0
+    return next((int(x.split()[1]) * 1024 for x in status.splitlines() if x.startswith("RssAnon")), 0)
--- a/tests/wire/test_http1.py
+++ b/tests/wire/test_http1.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -35,6 +36,23 @@
         assert (head and (head.status, head.body_length, head.keep_alive)) == expected
 
 
+# Guards against heads of very many short fields, which take 17 times their bytes in memory while in use.
+@pytest.mark.parametrize("decode", [http1.decode_response_head, http1.decode_request_head])
+@pytest.mark.parametrize("name", [b"x%d", b"x"], ids=["different names", "one name"])
+def test_a_head_has_a_limited_number_of_fields(decode: Callable[..., http1.Head | None], name: bytes) -> None:
+    start = b"HTTP/1.1 200 OK\r\n" if decode is http1.decode_response_head else b"GET / HTTP/1.1\r\n"
+
+    def head_of(count: int) -> bytearray:
+        names = [name % n if b"%" in name else name for n in range(count)]
+        return bytearray(start + b"".join(field + b":\r\n" for field in names) + b"\r\n")
+
+    longest, too_long = head_of(http1.MAX_HEAD_FIELDS), head_of(http1.MAX_HEAD_FIELDS + 1)
+    head = decode(longest, len(longest))
+    assert head is not None and head.size == len(longest)
+    with pytest.raises(http1.HttpError):
+        decode(too_long, len(too_long))
+
+
 @pytest.mark.parametrize(
     ("line", "size"), [(b"0", 0), (b"1F;x=y", 31), (b"", None), (b"-1", None), (b"0x1", None)]
 )
