Append writes behind unsent ones: each small one kept a future 73 times its size

Cause: unsent bytes are bounded per connection and in all, but each write behind unsent bytes went through IOStream.write, which keeps a future per call and tries to send each time. Evidence: test_small_writes_to_a_peer_that_does_not_read_take_memory_in_proportion_to_their_bytes failed before with 40.2 MB for 550,000 bytes. Fix: such a write is appended to the stream's buffer, which joins small pieces and is sent as before; a failure shows at the reader, as before.

--- a/hallproxy/run/sockets.py
+++ b/hallproxy/run/sockets.py
@@ -114,10 +114,21 @@
             if sent >= len(piece):
                 sent -= len(piece)
                 continue
-            # The future is not needed: a failure shows at the reader, which is always waiting.
-            self.write(memoryview(piece)[sent:] if sent else piece).add_done_callback(lambda f: f.exception())
+            self._write_behind(memoryview(piece)[sent:] if sent else piece)
             sent = 0
 
+    def _write_behind(self, piece: bytes | memoryview) -> None:
+        """Append to the write buffer. A failure shows at the reader, which is always waiting.
+
+        IOStream's ``write`` also tries to send and keeps a future for each call, of which a client that does
+        not read would have one for each small response.
+        """
+        if not self.writing():
+            self.write(piece).add_done_callback(lambda f: f.exception())
+            return
+        self._write_buffer.append(piece)
+        self._total_write_index += len(piece)
+
 
 class TlsStream(SSLIOStream, Stream):
     """A Stream over TLS. TLS records can't be gathered or peeked at, so each write is one piece, and an idle
@@ -132,7 +143,7 @@
         """Write the pieces in order, joined to one."""
         if self.closed():
             raise StreamClosedError(self.error)
-        self.write(b"".join(pieces)).add_done_callback(lambda f: f.exception())
+        self._write_behind(b"".join(pieces))
 
 
 def tls_client_stream(sock: socket.socket, context: ssl.SSLContext) -> Stream:
