Bound the frames of a connection's turn: one client at full speed kept the loop

Cause: the coroutine that reads a connection waits for bytes; where there always are some, it never returns to the event loop. One pass took up to 131,072 bytes, 14,500 of the smallest frames. Fix: after 64 frames, as many as the requests that a connection may have open and their cancellations, it yields; what is left in its buffer is decoded before more is read, and counts as unfinished at a shutdown.

--- a/hallproxy/run/downstream_connection.py
+++ b/hallproxy/run/downstream_connection.py
@@ -30,6 +30,7 @@
 FRAME_TIMEOUT = 2.0  # s for the first frame, and for the rest of each one that has begun
 MAX_INVALID_REQUESTS = 16  # on one connection; then it is closed
 MAX_RECEIVED_BYTES = 131_072  # read before the received requests are started
+MAX_FRAMES_PER_TURN = 2 * MAX_IN_FLIGHT  # of one connection: all its requests, and their cancellations
 LINGER_DURATION = 0.5  # s for which a connection is read after its write side is closed, ...
 MAX_LINGER_BYTES = 262_144  # ...or until this many bytes
 UNSENT_POLL_INTERVAL = 0.02  # s between checks whether the last bytes have been sent
@@ -117,6 +118,8 @@
         self._sent_go_away = False
         self._frame_timer: asyncio.TimerHandle | None = None
         self._end_deadline = 0.0
+        self._frames_left = MAX_FRAMES_PER_TURN  # in this connection's turn
+        self._has_undecoded = False  # the buffer may hold complete frames
 
     async def serve(self) -> None:
         """Read frames until the connection ends."""
@@ -136,15 +139,28 @@
     async def _read(self) -> None:
         dropped = 0
         while not (self.write_closed and dropped > MAX_LINGER_BYTES):
-            await self._reader.wait()
+            await self._wait()
             if not self.ending:
                 self._receive()
             if self.ending:
+                self._has_undecoded = False
                 dropped += self._reader.discard_all()
                 if dropped > MAX_LINGER_BYTES and not self.write_closed:
                     # Throttles a client that keeps sending after an error, while responses are still unsent.
                     await asyncio.sleep(UNSENT_POLL_INTERVAL)
 
+    async def _wait(self) -> None:
+        """Wait for something to decode, and for the other connections' turns once this one's is over.
+
+        A client that sends at full speed always has bytes to read, so that reading alone never waits.
+        """
+        if self._frames_left <= 0:
+            await asyncio.sleep(0)
+            self._frames_left = MAX_FRAMES_PER_TURN
+        self._frames_left -= 1
+        if not self._has_undecoded:
+            await self._reader.wait()
+
     def _abandon_requests(self) -> None:
         """Drop the requests of a client that has disconnected."""
         for stream_id, queued in self.queued.items():
@@ -174,7 +190,7 @@
             except frames.FrameError as error:
                 self._fail(str(error))
                 break
-            if self._reader.needs_memory or received >= MAX_RECEIVED_BYTES:
+            if self._has_undecoded or self._reader.needs_memory or received >= MAX_RECEIVED_BYTES:
                 break
             size = self._reader.read_available()
             if size is None:
@@ -197,14 +213,19 @@
             self._set_frame_timeout(FRAME_TIMEOUT)
 
     def _decode_frames(self) -> int:
-        """Handle all frames that are complete and have their memory; returns their bytes."""
+        """Handle the frames that are complete and have their memory, in this turn; returns their bytes."""
+        self._has_undecoded = False
         try:
             while (frame := self._reader.next_frame()) is not None:
                 self.has_requested = True
+                self._frames_left -= 1
                 if isinstance(frame, DroppedFrame):
                     self._answer_dropped(frame)
                 elif not self._is_queued(frame):
                     self._owner.request_budget.release(frame.reserved)
+                if self._frames_left <= 0:
+                    self._has_undecoded = True
+                    break
         finally:
             decoded = self._reader.discard_decoded()
         return decoded
@@ -355,14 +376,14 @@
             self.in_flight
             or self.queued
             or self._writer.unsent_bytes
-            or self._reader.needs_memory
+            or self.has_unread_requests
             or self._stream.is_stale()
         )
 
     @property
-    def needs_memory(self) -> bool:
-        """Whether a request waits for memory, not read or not decoded."""
-        return self._reader.needs_memory
+    def has_unread_requests(self) -> bool:
+        """Whether a request may wait, for memory or for this connection's turn, not read or not decoded."""
+        return self._reader.needs_memory or self._has_undecoded
 
     @property
     def unsent_bytes(self) -> int:
--- a/hallproxy/run/downstream_connections.py
+++ b/hallproxy/run/downstream_connections.py
@@ -73,7 +73,7 @@
     def has_unfinished(self) -> bool:
         """Whether a request awaits memory or its response, or a response is not sent completely."""
         return bool(self._queue or self.runner.state.awaiting_response) or any(
-            c.unsent_bytes or c.needs_memory for c in self.connections
+            c.unsent_bytes or c.has_unread_requests for c in self.connections
         )
 
     def max_memory_wait(self) -> float:
--- a/tests/run/test_memory.py
+++ b/tests/run/test_memory.py
@@ -7,8 +7,7 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -28,7 +27,7 @@
 from hallproxy.state.units import MB
 from hallproxy.wire import frames
 from tests.support.gateway import Client, Platform, ReceivedRequest, platform_settings, response, until
-from tests.support.processes import anonymous_memory
+from tests.support.observers import QuietClient, memory_watched
 
 SERVED, REFUSED, FAILED = frames.SERVED, frames.REJECTED, frames.FAILED
 WRITE_BYTES = 48_000  # the most that one write carries
@@ -37,47 +36,6 @@
 DEADLINE = 3.0  # s; the shortest of the stand-in settings
 LATE = 0.5  # s after its time at which a request counts as lost
 HUNDREDS = 400  # connections; with 1,024 descriptors a gateway has 409 at most
-QUIET_INTERVAL = 0.05  # s from one request of the quiet client to the next
-
-
-@contextmanager
-def memory_watched(platform: Platform) -> Iterator[list[int]]:
-    """The highest memory in bytes, as the one element of a list."""
-    peak, ended = [0], threading.Event()
-
-    def watch() -> None:
-        while not ended.wait(0.005):
-            peak[0] = max(peak[0], anonymous_memory(platform.program.process.pid))
-
-    thread = threading.Thread(target=watch)
-    thread.start()
-    yield peak
-    ended.set()
-    thread.join()
-
-
-class QuietClient:
-    """Sends one small request after another, and notes each response and how long it took."""
-
-    def __init__(self, platform: Platform) -> None:
-        self.responses: list[tuple[int, float]] = []
-        self._client = platform.client()
-        self._ended = threading.Event()
-        self._thread = threading.Thread(target=self._run)
-        self._thread.start()
-
-    def _run(self) -> None:
-        row = 10_000
-        while not self._ended.wait(QUIET_INTERVAL):
-            row += 1
-            began_at = time.monotonic()
-            self._client.send_request(op="small", row=row, ttl="3000")
-            code, _, _ = self._client.read_response()
-            self.responses.append((code, time.monotonic() - began_at))
-
-    def stop(self) -> None:
-        self._ended.set()
-        self._thread.join()
 
 
 def encode_writes(client: Client, count: int) -> bytes:
