Bound the requests of a connection's turn at the second front too

Cause: a request that has arrived is read without waiting and answered without waiting, so the connection's coroutine never returned to the event loop. Fix: a connection yields after 8 requests, whether its reads had to wait or not.

--- a/hallproxy/repository/front.py
+++ b/hallproxy/repository/front.py
@@ -50,6 +50,7 @@
 SECOND = 1_000_000_000  # ns
 DEADLINE_SLACK = SECOND // 20  # ns of a deadline reserved for writing the response
 IDLE_TIMEOUT = 30.0  # s for the next request's complete head
+MAX_HEADS_PER_TURN = 8  # of one connection
 FIRST_HEAD_TIMEOUT = 5.0  # s for a connection's first complete head: a silent client must not hold a slot
 MAX_RENDERED_INDEX_BYTES = 16 * 1024 * 1024  # of rendered indexes in the cache
 # Cache-Status (RFC 9211) of a stale index: every upstream failed, and no purge was received.
@@ -687,6 +688,17 @@
         self._buffer = Buffer(4096)
         self._reading: asyncio.Future[None] | None = None
         self._searched = 0  # bytes of the next head in which its end was not found
+        self._heads_left = MAX_HEADS_PER_TURN  # in this connection's turn
+
+    async def _end_turn(self) -> None:
+        """Let the other connections have their turn once this one's is over.
+
+        A client that sends ahead always has bytes to read, so that reading alone never waits.
+        """
+        self._heads_left -= 1
+        if self._heads_left <= 0:
+            self._heads_left = MAX_HEADS_PER_TURN
+            await asyncio.sleep(0)
 
     def read_ahead(self) -> asyncio.Future[None]:
         """The running read, else a new one. It detects a disconnect while a response is being prepared."""
@@ -699,6 +711,7 @@
         """The next request's head; TimeoutError if it is not complete within ``timeout`` seconds."""
         clock = asyncio.get_running_loop().time
         deadline = clock() + timeout
+        await self._end_turn()
         while True:
             # Nothing is removed from the buffer while a read writes into it.
             if self._reading is None or self._reading.done():
