Start no request of a client whose close is behind what was not read

Cause: a close is found by reading up to it. Reading stops for memory, after 131,072 bytes or at the end of the turn, and what was read is started with the close still behind the rest. Fix: before such a start the system is asked whether the peer has closed, which it knows whatever is unread; connections that were read to the end, nearly all, are not asked.

--- a/hallproxy/run/downstream_connection.py
+++ b/hallproxy/run/downstream_connection.py
@@ -120,6 +120,7 @@
         self._end_deadline = 0.0
         self._frames_left = MAX_FRAMES_PER_TURN  # in this connection's turn
         self._has_undecoded = False  # the buffer may hold complete frames
+        self._has_unread = True  # the socket may hold data, and behind it the client's close
 
     async def serve(self) -> None:
         """Read frames until the connection ends."""
@@ -193,6 +194,7 @@
             if self._has_undecoded or self._reader.needs_memory or received >= MAX_RECEIVED_BYTES:
                 break
             size = self._reader.read_available()
+            self._has_unread = size is not None
             if size is None:
                 break
             if size == 0:
@@ -289,7 +291,7 @@
         queued = self.queued.pop(stream_id)
         runner = self._owner.runner
         now = runner.now()
-        request = None if self._stream.closed() else self._decode_request(stream_id, queued, now)
+        request = None if self._is_closed() else self._decode_request(stream_id, queued, now)
         if request is None:
             self._owner.request_budget.release(queued.reserved)
             return
@@ -299,6 +301,12 @@
         self.in_flight[stream_id] = StartedRequest(downstream, queued.reserved)
         runner.dispatch(RequestReceived(now, downstream, request))
 
+    def _is_closed(self) -> bool:
+        """Whether the connection is closed, by the client too, whose close may be behind unread data."""
+        if self._has_unread and self._stream.peer_has_closed():
+            self._stream.close()  # its reader abandons the other requests
+        return self._stream.closed()
+
     def _decode_request(self, stream_id: int, queued: QueuedRequest, now: int) -> ClientRequest | None:
         settings = self._owner.runner.state.settings
         payload, elapsed = memoryview(queued.payload), now - queued.received_at
--- a/hallproxy/run/sockets.py
+++ b/hallproxy/run/sockets.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 import ssl
 from collections.abc import Sequence
@@ -74,6 +75,14 @@
             return True
         return True
 
+    def peer_has_closed(self) -> bool:
+        """Whether the peer has closed or reset the connection, also behind data that has not been read."""
+        if self.closed():
+            return True
+        poll = select.poll()
+        poll.register(self.fileno(), select.POLLRDHUP | select.POLLHUP | select.POLLERR)
+        return bool(poll.poll(0))
+
     def read_available(self, into: memoryview) -> int | None:
         """Read without waiting; returns the number of bytes, 0 at the peer's close, None if there are none.
 
--- a/tests/run/test_downstream_connection.py
+++ b/tests/run/test_downstream_connection.py
@@ -10,6 +10,7 @@
 
 from hallproxy.decisions import Router
 from hallproxy.run import effect_runner
+from hallproxy.run.byte_budget import ByteBudget
 from hallproxy.run.downstream_connections import DownstreamConnections
 from hallproxy.run.effect_runner import EffectRunner
 from hallproxy.state.effects import Effect, SendResponse
@@ -23,15 +24,16 @@
 FIELDS = {"op": "segment", "ttl": "2000", "row": f"{1:016x}", "nth": "0", "batch": "1", "heap": "40.0"}
 TOO_LONG = Response(ResponseKind.SERVED, bytes(frames.MAX_FRAME_BYTES))
 SERVED = Response(ResponseKind.SERVED, b"bytes")
+LONG_BODY_BYTES = 20_000
 
 
 def new_runner() -> EffectRunner:
     return EffectRunner(GatewayState(SETTINGS, Router(SETTINGS, 1)))
 
 
-def encode_request(stream: int) -> bytes:
+def encode_request(stream: int, body: bytes = b"") -> bytes:
     fields = frames.encode_fields(FIELDS | {"call": f"{stream:016x}"})
-    return b"".join(frames.encode_frame(frames.REQUEST, stream, fields))
+    return b"".join(frames.encode_frame(frames.REQUEST, stream, fields + body))
 
 
 def test_a_response_that_no_frame_can_carry_fails_only_its_own_request(
@@ -65,6 +67,33 @@
     assert "response on stream 1 is not sent" in capsys.readouterr().err
 
 
+@pytest.mark.parametrize("half_close", [False, True])
+def test_a_request_is_not_started_while_the_next_one_waits_for_memory_ahead_of_the_close(
+    half_close: bool,
+) -> None:
+    # Guards against requests of a client that has closed, as its close is behind bytes that are not read.
+    async def run() -> list[Event]:
+        runner = new_runner()
+        received: list[Event] = []
+        runner.dispatch = received.append  # type: ignore[method-assign,assignment]
+        owner = DownstreamConnections(runner)
+        owner.request_budget = ByteBudget(lambda: LONG_BODY_BYTES * 3 // 2)
+        ours, theirs = socket.socketpair()
+        ours.setblocking(False)
+        theirs.sendall(encode_request(1, bytes(LONG_BODY_BYTES)) + encode_request(2, bytes(LONG_BODY_BYTES)))
+        if half_close:
+            theirs.shutdown(socket.SHUT_WR)
+        else:
+            theirs.close()
+        owner.accept(ours, ("127.0.0.1", 1))
+        while owner.connections:
+            await asyncio.sleep(0.001)
+        theirs.close()
+        return received
+
+    assert asyncio.run(run()) == []
+
+
 def test_an_effect_that_fails_does_not_stop_the_others_of_its_event(monkeypatch: pytest.MonkeyPatch) -> None:
     # Guards against one response that can't be sent, behind which others that end with it are never sent.
     def respond_twice(_state: GatewayState, _event: Event) -> list[Effect]:
--- a/tests/run/test_event_races.py
+++ b/tests/run/test_event_races.py
@@ -155,6 +155,34 @@
     assert upstream_requests(platform, 7) == 0
 
 
+@pytest.mark.parametrize("ending", ["close", "half-close", "reset"])
+def test_requests_ahead_of_many_frames_are_not_sent_once_their_client_has_closed(
+    start_platform: Callable[..., Platform], ending: str
+) -> None:
+    # Guards against requests that are started while the client's close is still behind what was not read.
+    platform = start_platform()
+    client = platform.client()
+    client.send_frame(frames.READINESS_REQUEST, 0)
+    client.read_frame()
+    with suspended(platform.program):
+        for nth in range(30):
+            client.send_request(op="small", row=7, nth=nth)
+        client.sock.sendall(b"".join(frames.encode_frame(frames.CANCEL, 9_999)) * 3_000)
+        end_connection(client, ending)
+    assert_serving(platform)
+    assert_serving(platform, 998)
+    assert upstream_requests(platform, 7) == 0
+
+
+def end_connection(client: Client, ending: str) -> None:
+    if ending == "close":
+        client.sock.close()
+    elif ending == "half-close":
+        client.sock.shutdown(socket.SHUT_WR)
+    else:
+        reset(client.sock)
+
+
 def test_a_cancel_behind_many_frames_cancels_requests_that_have_not_begun(
     start_platform: Callable[..., Platform],
 ) -> None:
