Remember ids that may have run: one that returned after its client left ran twice

Requests that may run once, and ones under keys, ran again when their client closed and the same ids came on a new connection, at once or later. Cause: an id was refused only while its request was in flight, which its client ends by leaving. Evidence: test_an_id_that_has_run_does_not_run_again_when_it_returns failed before in all eight forms. An id whose request has surely not run may come again.

--- a/hallproxy/state/lifecycle.py
+++ b/hallproxy/state/lifecycle.py
@@ -67,5 +67,9 @@
 def remove_if_finished(state: GatewayState, in_flight: InFlightRequest) -> None:
     """Remove the request once it is answered and has no attempt in flight."""
     if in_flight.answered and not in_flight.attempts:
+        request = in_flight.request
         state.requests.pop(in_flight.id, None)
-        state.request_ids.discard(in_flight.request.request_id)
+        state.request_ids.discard(request.request_id)
+        idempotent = state.request_class(request).idempotency is i.Idempotency.IDEMPOTENT
+        if in_flight.first_executed_at and request.request_id and not idempotent:
+            state.executed_requests.add(request.request_id)
--- a/hallproxy/state/model.py
+++ b/hallproxy/state/model.py
@@ -12,6 +12,7 @@
 from hallproxy.state.effects import Effect
 from hallproxy.state.endpoints import EndpointList
 from hallproxy.state.events import ClientRequest
+from hallproxy.state.executed_requests import ExecutedRequests
 from hallproxy.state.in_flight import Attempt, InFlightRequest, UpstreamConnection
 from hallproxy.state.limits import Limits
 from hallproxy.state.local_cache import LocalCache, Uplink
@@ -44,6 +45,7 @@
         purges: what was purged, for as long as older copies may still exist.
         requests: requests in flight, by id.
         request_ids: the clients' ids of the requests in flight.
+        executed_requests: the clients' ids of ended requests that must not execute again.
         awaiting_response: requests whose response is not sent yet, by the front's handle.
         attempts: attempts in flight by id, in the order they were started.
         connections: upstream connections by id.
@@ -73,6 +75,7 @@
     purges: PurgeTable = field(default_factory=PurgeTable)
     requests: dict[int, InFlightRequest] = field(default_factory=dict)
     request_ids: set[str] = field(default_factory=set)
+    executed_requests: ExecutedRequests = field(default_factory=ExecutedRequests)
     awaiting_response: dict[int, InFlightRequest] = field(default_factory=dict)
     attempts: OrderedDict[int, Attempt] = field(default_factory=OrderedDict)
     connections: dict[int, UpstreamConnection] = field(default_factory=dict)
--- a/tests/run/test_event_races.py
+++ b/tests/run/test_event_races.py
@@ -41,6 +41,7 @@
     now_ms,
     ok,
     platform_settings,
+    reply_with,
     reset,
     response,
     until,
@@ -183,6 +184,46 @@
         reset(client.sock)
 
 
+@pytest.mark.parametrize("ending", ["close", "half-close", "reset", "answered"])
+@pytest.mark.parametrize("op", ["once", "close"])
+def test_an_id_that_has_run_does_not_run_again_when_it_returns(
+    start_platform: Callable[..., Platform], op: str, ending: str
+) -> None:
+    # Guards against a request that runs twice: its client has left, and comes again with the same id.
+    platform = start_platform()
+    answering = threading.Event()
+    platform.set_reply(lambda request: ok()(request) if answering.wait(3) else None)
+    fields = {"op": op, "call": f"{0xABCDEF:016x}", "dedupe": "k1"}
+    first = platform.client()
+    first.send_request(row=7, fields=fields)
+    until(lambda: upstream_requests(platform, 7))
+    if ending == "answered":
+        answering.set()
+        assert first.read_response()[0] == SERVED
+    else:
+        end_connection(first, ending)
+        answering.set()
+        assert_serving(platform)  # the end has been read by then
+    again = platform.client()
+    again.send_request(row=7, fields=fields)
+    assert again.read_response()[0] == FAILED
+    assert upstream_requests(platform, 7) == 1
+
+
+def test_an_id_that_has_not_run_may_come_again(start_platform: Callable[..., Platform]) -> None:
+    # A client sends a request that crosses the end of its connection once more, under the same id.
+    platform = start_platform()
+    platform.set_reply(reply_with(503, X_No_Effect="1"))
+    fields = {"op": "once", "call": f"{0xABCDEF:016x}"}
+    client = platform.client()
+    client.send_request(row=7, fields=fields)
+    assert client.read_response()[0] != SERVED
+    platform.set_reply(ok())
+    client = platform.client()
+    client.send_request(row=7, fields=fields)
+    assert client.read_response()[0] == SERVED
+
+
 def test_a_cancel_behind_many_frames_cancels_requests_that_have_not_begun(
     start_platform: Callable[..., Platform],
 ) -> None:
--- a/tests/state/test_reducer.py
+++ b/tests/state/test_reducer.py
@@ -11,6 +11,7 @@
 from hallproxy import interface as i
 from hallproxy.state import effects, events
 from hallproxy.state.events import Event, ExtensionEvent
+from hallproxy.state.executed_requests import ExecutedRequests
 from hallproxy.state.limits import Limits
 from hallproxy.state.local_cache import CacheKey, LocalCacheEntry
 from hallproxy.state.reducer import EVENT_HANDLERS
@@ -138,3 +139,10 @@
     assert list(harness.state.endpoints.by_id) == list(harness.state.endpoints.processes) == listed
     assert list(harness.state.router.endpoints.by_id) == listed
     assert harness.state.endpoints.is_ready(b"s-0") is (last is i.EndpointState.READY)
+
+
+def test_the_ids_of_executed_requests_are_bounded_and_the_oldest_forgotten() -> None:
+    executed = ExecutedRequests(max_ids=2)
+    for request_id in ("a", "b", "a", "c"):
+        executed.add(request_id)
+    assert len(executed) == 2 and "c" in executed and "b" in executed
--- a/tests/state/test_small_bounds.py
+++ b/tests/state/test_small_bounds.py
@@ -58,6 +58,7 @@
         self.written: dict[str, list[i.AttemptStatus | None]] = {}  # by request id; None: not ended
         self.request_ids: dict[int, str] = {}  # connection -> the id of the request written on it
         self.state.purges.max_entries = 2
+        self.state.executed_requests.max_ids = 2
         self.state.negative_cache.max_entries = 2
         self.set_contracts()
 
@@ -114,6 +115,7 @@
         assert state.local_cache.cached_bytes == sum(c.size for c in cached) <= LIMITS.local_cache_bytes
         assert len(state.purges.objects) <= 2 and len(state.purges.groups) <= 2
         assert len(state.negative_cache) <= 2
+        assert len(state.executed_requests) <= 2
         if state.broker is not None:
             self.check_broker()
 
