Follow a change log that counts anew: the gateway heard none of its events

A new log at the former one's address has low numbers; the gateway applied none of its events and believed itself current. Cause: the last number of a page was not compared with the number polled from. Evidence: test_a_change_log_that_counts_anew_is_followed_from_its_first_event failed before. Fix: such a page is an error, so that own copies rest. A log still behind after 1 s is followed from its first event, and all copies count as purged, as purges of the former one may have been missed; one that is behind for a moment is waited for, as its older list would make draining stores ready again.

--- a/hallproxy/run/change_log_poller.py
+++ b/hallproxy/run/change_log_poller.py
@@ -10,12 +10,13 @@
 from hallproxy.run.config import Address
 from hallproxy.run.effect_runner import EffectRunner
 from hallproxy.run.log import log_line
-from hallproxy.state.events import WatchCaughtUp, WatchFailed, WatchFailure, WatchPolled
-from hallproxy.state.units import MS
-from hallproxy.wire.changelog import ChangeLogError, decode_age, decode_events, snapshot_start
+from hallproxy.state.events import PurgeNotified, WatchCaughtUp, WatchFailed, WatchFailure, WatchPolled
+from hallproxy.state.units import MS, SECOND
+from hallproxy.wire.changelog import GROUP_COUNT, ChangeLogError, decode_age, decode_events, snapshot_start
 
 POLL_WAIT = 1_000  # ms that a poll is held; short, so that a log that has stopped is detected
 RESPONSE_TIMEOUT = 0.25  # s after that wait at which a poll has failed
+MAX_BEHIND = SECOND  # ns for which a log may lack events that have been applied
 FIRST_RESPONSE_TIMEOUT = 2.0  # s after which the events of a log that has failed count as notified
 
 
@@ -33,6 +34,7 @@
         compressed = not isinstance(sources, SingleSource)
         super().__init__(sources, since, POLL_WAIT, RESPONSE_TIMEOUT, compressed, has_alternatives)
         self._runner = runner
+        self._behind_since: int | None = None  # Unix ns; None: the log has the last event applied
 
     def now(self) -> int:
         """The runner's clock."""
@@ -96,6 +98,8 @@
     def _dispatch_events(self, page: dict[str, Any], allow_gaps: bool, live: bool = True) -> None:
         """Dispatch the new events, each entirely or not at all; those of a snapshot page all or none."""
         state = self._runner.state
+        if live and not self._compressed:
+            self._check_incarnation(page)
         first = snapshot_start(page) if live else None
         since = self.since if first is None else first
         events = decode_events(page, since, state.settings, self._runner.now(), allow_gaps, live)
@@ -104,6 +108,27 @@
                 self._runner.dispatch(event)
             self.since = seq
 
+    def _check_incarnation(self, page: dict[str, Any]) -> None:
+        """ChangeLogError for a page of a log that has fewer events than have been applied.
+
+        It may be a copy of the log that is behind for a moment. One that stays behind counts anew: it is
+        followed from its first event, and all copies count as purged, as purges of the former log may have
+        been missed. Relays send a snapshot instead.
+        """
+        last = page.get("seq")
+        if not isinstance(last, int) or last >= self.since:
+            self._behind_since = None
+            return
+        now = self.now()
+        if self._behind_since is None:
+            self._behind_since = now
+        if now - self._behind_since >= MAX_BEHIND:
+            log_line(f"change log: counts anew, has {last} events; {self.since} was the last applied")
+            self.since, self._behind_since = 0, None
+            for group in range(GROUP_COUNT):
+                self._runner.dispatch(PurgeNotified(now, 0, group, now))
+        raise ChangeLogError(f"log has {last} events, and {self.since} have been applied")
+
 
 def _sources(source: Address | Sources) -> Sources:
     return SingleSource(source) if isinstance(source, tuple) else source
--- a/tests/run/test_missed_purges.py
+++ b/tests/run/test_missed_purges.py
@@ -16,6 +16,7 @@
     HttpStandIn,
     Platform,
     ReceivedRequest,
+    instance_record,
     now_ms,
     poll_parameters,
     response,
@@ -210,3 +211,39 @@
         request_objects(client)
     asked = len(platform.requests)
     assert {body for _, body in request_objects(client)} == {b"new"} and len(platform.requests) == asked
+
+
+# Guards against a new change log at the address of the former one that is taken for it: its events have
+# numbers that the gateway has seen, so that it would hear none of them and believe itself current.
+def test_a_change_log_that_counts_anew_is_followed_from_its_first_event(
+    start_platform: Callable[..., Platform],
+) -> None:
+    platform, client, copies = start_with_own_copies(start_platform)
+    for number in range(5):
+        platform.publish(invalidate={"object": f"{1_000 + number:016x}", "time": now_ms()})
+    record = instance_record("s-1", platform.caches[1].address, "std")
+    copies.tag, copies.born_ms = b"new", now_ms()
+    with platform.log._changed:
+        fleet = {"generation": 1, "reset": True, "instances": [record]}
+        platform.log.events[:] = [{"seq": 1, "fleet": fleet}]
+        platform.log.polls.clear()
+    until(lambda: platform.log.acknowledged(1))
+    removed = len(platform.caches[0].requests)
+    assert {body for _, body in request_objects(client)} == {b"new"}  # the former log may have had a purge
+    assert len(platform.caches[0].requests) == removed  # and no longer lists this store
+    platform.publish(invalidate={"bucket": 1, "time": now_ms()})
+
+
+def test_a_change_log_that_is_behind_for_a_moment_is_followed_from_the_last_event(
+    start_platform: Callable[..., Platform],
+) -> None:
+    # Its older list must not be applied again: a store that drains would count as ready.
+    platform, _, _ = start_with_own_copies(start_platform)
+    platform.drain(0)
+    with platform.log._changed:
+        latest = platform.log.events.pop()
+        platform.log.polls.clear()
+    until(lambda: len(platform.log.polls) > 3)
+    platform.log.add(fleet=latest["fleet"])
+    until(lambda: platform.log.acknowledged(2))
+    assert 0 not in platform.log.polls
